--- /dev/null
+++ b/buckthornwing/src/Config/JsonReader.cpp
@@ -0,0 +1,236 @@
+#include "JsonReader.h"
+
+#include <algorithm>
+#include <boost/json.hpp>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \returns the Levenshtein distance of two words.
+std::size_t
+editDistance(std::string_view left, std::string_view right)
+{
+  std::vector<std::size_t> row(right.size() + 1);
+  for (std::size_t j = 0; j < row.size(); ++j) {
+    row[j] = j;
+  }
+  for (std::size_t i = 1; i <= left.size(); ++i) {
+    std::size_t diagonal = row[0];
+    row[0] = i;
+    for (std::size_t j = 1; j < row.size(); ++j) {
+      const std::size_t above = row[j];
+      const std::size_t change = left[i - 1] == right[j - 1] ? 0 : 1;
+      row[j] = std::min({ above + 1, row[j - 1] + 1, diagonal + change });
+      diagonal = above;
+    }
+  }
+  return row.back();
+}
+
+}
+
+std::string
+describeKind(const boost::json::value& value)
+{
+  switch (value.kind()) {
+    case boost::json::kind::null:
+      return "null";
+    case boost::json::kind::bool_:
+      return "a boolean";
+    case boost::json::kind::int64:
+    case boost::json::kind::uint64:
+      return "the number " + boost::json::serialize(value);
+    case boost::json::kind::double_:
+      return "a fraction";
+    case boost::json::kind::string:
+      return "the text " + boost::json::serialize(value);
+    case boost::json::kind::array:
+      return "an array";
+    case boost::json::kind::object:
+      return "an object";
+  }
+  return "a value";
+}
+
+std::string
+nearestName(std::string_view word, const std::vector<std::string>& names)
+{
+  std::string best;
+  // Words further apart than half their length are no likely slip.
+  std::size_t bound = word.size() / 2 + 1;
+  for (const std::string& name : names) {
+    const std::size_t distance = internal::editDistance(word, name);
+    if (distance < bound) {
+      bound = distance;
+      best = name;
+    }
+  }
+  return best;
+}
+
+JsonReader::JsonReader(const boost::json::value& value,
+                       std::string path,
+                       Problems& problems)
+  : object(value.if_object())
+  , path(std::move(path))
+  , problems(&problems)
+{
+  if (this->object == nullptr) {
+    this->problems->push_back(
+      { this->path, "expected an object, found " + describeKind(value) });
+  }
+}
+
+std::string
+JsonReader::pathOf(std::string_view name) const
+{
+  return this->path + "." + std::string(name);
+}
+
+std::string
+JsonReader::pathOf(std::string_view name, std::size_t index) const
+{
+  return this->pathOf(name) + "[" + std::to_string(index) + "]";
+}
+
+void
+JsonReader::report(std::string_view name, std::string expected)
+{
+  this->problems->push_back({ this->pathOf(name), std::move(expected) });
+}
+
+const boost::json::value*
+JsonReader::field(std::string_view name, bool required)
+{
+  this->known.emplace_back(name);
+  if (this->object == nullptr) {
+    return nullptr;
+  }
+  const boost::json::value* value = this->object->if_contains(name);
+  if (value == nullptr && required) {
+    this->report(name, "expected this field, found none");
+  }
+  return value;
+}
+
+std::string
+JsonReader::text(std::string_view name, bool required)
+{
+  const boost::json::value* value = this->field(name, required);
+  if (value == nullptr) {
+    return {};
+  }
+  const boost::json::string* text = value->if_string();
+  if (text == nullptr) {
+    this->report(name, "expected text, found " + describeKind(*value));
+    return {};
+  }
+  if (text->empty() && required) {
+    this->report(name, "expected text that is not empty");
+  }
+  return std::string(*text);
+}
+
+std::uint64_t
+JsonReader::number(std::string_view name,
+                   std::uint64_t least,
+                   std::uint64_t most,
+                   std::optional<std::uint64_t> fallback)
+{
+  const boost::json::value* value = this->field(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or(least);
+  }
+  boost::json::error_code error;
+  const auto number = value->to_number<std::uint64_t>(error);
+  const bool whole = value->is_int64() || value->is_uint64();
+  if (error || !whole || number < least || number > most) {
+    this->report(name,
+                 "expected a whole number from " + std::to_string(least) +
+                   " to " + std::to_string(most) + ", found " +
+                   describeKind(*value));
+    return least;
+  }
+  return number;
+}
+
+std::size_t
+JsonReader::choice(std::string_view name,
+                   std::initializer_list<std::string_view> names,
+                   std::optional<std::size_t> fallback)
+{
+  const boost::json::value* value = this->field(name, !fallback);
+  if (value == nullptr) {
+    return fallback.value_or(0);
+  }
+  std::string expected = "expected one of";
+  const boost::json::string* text = value->if_string();
+  std::size_t index = 0;
+  for (const std::string_view candidate : names) {
+    if (text != nullptr && std::string_view(*text) == candidate) {
+      return index;
+    }
+    expected += " \"" + std::string(candidate) + "\"";
+    ++index;
+  }
+  this->report(name, expected + ", found " + describeKind(*value));
+  return 0;
+}
+
+IpAddress
+JsonReader::address(std::string_view name)
+{
+  const std::string text = this->text(name);
+  const std::optional<IpAddress> address = parseIpAddress(text);
+  if (!address && !text.empty()) {
+    this->report(name, "expected an IP address, found \"" + text + "\"");
+  }
+  return address.value_or(IpAddress{});
+}
+
+Endpoint
+JsonReader::endpoint(std::string_view name)
+{
+  const std::string text = this->text(name);
+  const std::optional<Endpoint> endpoint = parseEndpoint(text);
+  if (!endpoint && !text.empty()) {
+    this->report(
+      name, "expected \"address:port\" by IP number, found \"" + text + "\"");
+  }
+  return endpoint.value_or(Endpoint{});
+}
+
+const boost::json::array*
+JsonReader::array(std::string_view name, bool required)
+{
+  const boost::json::value* value = this->field(name, required);
+  if (value == nullptr) {
+    return nullptr;
+  }
+  const boost::json::array* array = value->if_array();
+  if (array == nullptr) {
+    this->report(name, "expected an array, found " + describeKind(*value));
+  }
+  return array;
+}
+
+void
+JsonReader::finish()
+{
+  if (this->object == nullptr) {
+    return;
+  }
+  for (const auto& member : *this->object) {
+    const std::string name(member.key());
+    if (std::find(this->known.begin(), this->known.end(), name) !=
+        this->known.end()) {
+      continue;
+    }
+    const std::string hint = nearestName(name, this->known);
+    this->report(name,
+                 "unknown field" +
+                   (hint.empty() ? "" : "; did you mean \"" + hint + "\"?"));
+  }
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Config/ParseConfiguration.cpp
@@ -0,0 +1,306 @@
+#include "ParseConfiguration.h"
+
+#include "JsonReader.h"
+
+#include <boost/json.hpp>
+#include <map>
+#include <set>
+#include <tuple>
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::uint64_t kMostPort = 65535;
+constexpr std::uint64_t kMostCount = 1000000000;
+constexpr std::uint64_t kMostRevision = 1ULL << 53U;
+constexpr std::size_t kMostHashSeedDigits = 64;
+
+/// \brief Parses one document; holds what spans its parts.
+class DocumentParser
+{
+public:
+  ParsedConfiguration parse(std::string_view text)
+  {
+    boost::json::value document;
+    if (!this->readJson(text, document)) {
+      return std::move(this->result);
+    }
+    JsonReader reader(document, "$", this->result.fatal);
+    Configuration& configuration = this->result.configuration;
+    configuration.revision = reader.number("revision", 1, kMostRevision);
+    configuration.hashSeed = this->parseHashSeed(reader);
+    this->parseServices(reader);
+    this->parseTargets(reader);
+    this->parseInstances(reader);
+    reader.finish();
+    this->checkOverlaps();
+    return std::move(this->result);
+  }
+
+private:
+  ParsedConfiguration result;
+
+  bool readJson(std::string_view text, boost::json::value& document)
+  {
+    Problems& fatal = this->result.fatal;
+    if (text.size() > kMostDocumentBytes) {
+      fatal.push_back({ "$",
+                        "expected at most " +
+                          std::to_string(kMostDocumentBytes) +
+                          " bytes, found " + std::to_string(text.size()) });
+      return false;
+    }
+    boost::json::error_code error;
+    boost::json::stream_parser parser;
+    const std::size_t read = parser.write_some(text.data(), text.size(), error);
+    if (!error && !parser.done()) {
+      parser.finish(error);
+    }
+    const bool trailing = !error && text.find_first_not_of(" \t\r\n", read) !=
+                                      std::string_view::npos;
+    if (error || trailing) {
+      fatal.push_back({ "$",
+                        "expected one JSON document, found " +
+                          (error ? error.message() : "more text after it") +
+                          " at byte " + std::to_string(read) });
+      return false;
+    }
+    document = parser.release();
+    return true;
+  }
+
+  std::uint64_t parseHashSeed(JsonReader& reader)
+  {
+    const std::string seed = reader.text("hash_seed");
+    const bool hexadecimal =
+      seed.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
+    if (!seed.empty() && (!hexadecimal || seed.size() > kMostHashSeedDigits)) {
+      reader.report("hash_seed", "expected at most 64 hexadecimal digits");
+    }
+    return hashText(seed);
+  }
+
+  /// \brief Reports a text that stands twice among its kind.
+  static void checkUnique(JsonReader& reader,
+                          std::string_view field,
+                          const std::string& text,
+                          std::set<std::string>& seen)
+  {
+    if (!text.empty() && !seen.insert(text).second) {
+      reader.report(
+        field, "expected a unique name, found \"" + text + "\" a second time");
+    }
+  }
+
+  void parseServices(JsonReader& document)
+  {
+    const boost::json::array* array = document.array("services");
+    std::set<std::string> names;
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      JsonReader reader(
+        (*array)[i], document.pathOf("services", i), this->result.fatal);
+      ServiceConfig service = this->parseService(reader);
+      checkUnique(reader, "name", service.name, names);
+      reader.finish();
+      this->result.configuration.services.push_back(std::move(service));
+    }
+  }
+
+  ServiceConfig parseService(JsonReader& reader)
+  {
+    ServiceConfig service;
+    service.name = reader.text("name");
+    this->parseAddresses(reader, service);
+    service.protocol = reader.choice("protocol", { "tcp", "udp" }) == 0
+                         ? Protocol::tcp
+                         : Protocol::udp;
+    this->parsePorts(reader, service);
+    this->parseServiceSelector(reader, service);
+    service.maxFlows = reader.number("max_flows", 0, kMostCount, 0);
+    service.maxNewFlowsPerSecond =
+      reader.number("max_new_flows_per_second", 0, kMostCount, 0);
+    service.balance = reader.choice("balance", { "sticky", "spread" }, 0) == 0
+                        ? Balance::sticky
+                        : Balance::spread;
+    return service;
+  }
+
+  void parseAddresses(JsonReader& reader, ServiceConfig& service)
+  {
+    const boost::json::array* array = reader.array("addresses");
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      const boost::json::string* text = (*array)[i].if_string();
+      const auto address =
+        text == nullptr ? std::nullopt : parseIpAddress(*text);
+      if (!address) {
+        this->result.fatal.push_back(
+          { reader.pathOf("addresses", i),
+            "expected an IP address, found " + describeKind((*array)[i]) });
+        continue;
+      }
+      service.addresses.push_back(*address);
+    }
+    if (array != nullptr && array->empty()) {
+      reader.report("addresses", "expected at least one address");
+    }
+  }
+
+  void parsePorts(JsonReader& reader, ServiceConfig& service)
+  {
+    const boost::json::array* array = reader.array("ports");
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      boost::json::error_code error;
+      const auto port = (*array)[i].to_number<std::uint16_t>(error);
+      if (error || port == 0 || (*array)[i].is_double()) {
+        this->result.fatal.push_back({ reader.pathOf("ports", i),
+                                       "expected a port from 1 to 65535, "
+                                       "found " +
+                                         describeKind((*array)[i]) });
+        continue;
+      }
+      service.ports.push_back(port);
+    }
+    if (array != nullptr && array->empty()) {
+      reader.report("ports", "expected at least one port");
+    }
+  }
+
+  void parseServiceSelector(JsonReader& reader, ServiceConfig& service)
+  {
+    const boost::json::value* value = reader.field("selector", true);
+    if (value == nullptr) {
+      return;
+    }
+    const boost::json::string* text = value->if_string();
+    if (text == nullptr) {
+      reader.report("selector", "expected text, found " + describeKind(*value));
+      return;
+    }
+    auto parsed = parseSelector(*text);
+    if (const auto* fault = std::get_if<SelectorFault>(&parsed)) {
+      this->result.perService.push_back(
+        { reader.pathOf("selector"),
+          "expected " + fault->expected + " at byte " +
+            std::to_string(fault->offset) + " of \"" + std::string(*text) +
+            "\"" });
+      return;
+    }
+    service.selector = std::get<Selector>(std::move(parsed));
+  }
+
+  void parseTargets(JsonReader& document)
+  {
+    const boost::json::array* array = document.array("targets");
+    std::set<std::string> ids;
+    std::map<std::uint32_t, std::string> tags;
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      JsonReader reader(
+        (*array)[i], document.pathOf("targets", i), this->result.fatal);
+      TargetConfig target = this->parseTarget(reader);
+      checkUnique(reader, "id", target.id, ids);
+      const auto [tag, added] = tags.emplace(targetTag(target.id), target.id);
+      if (!added && tag->second != target.id) {
+        reader.report("id",
+                      "expected an id whose hash differs from that of \"" +
+                        tag->second + "\"; choose another id");
+      }
+      reader.finish();
+      this->result.configuration.targets.push_back(std::move(target));
+    }
+  }
+
+  TargetConfig parseTarget(JsonReader& reader)
+  {
+    TargetConfig target;
+    target.id = reader.text("id");
+    target.address = reader.address("address");
+    target.tunnelPort = reader.number("tunnel_port", 1, kMostPort);
+    target.zone = reader.text("zone");
+    this->parseLabels(reader, target);
+    target.slots = reader.number("slots", 0, kMostCount, 0);
+    target.maxConnections = reader.number("max_connections", 0, kMostCount, 0);
+    target.state = reader.choice("state", { "serving", "draining" }, 0) == 0
+                     ? TargetState::serving
+                     : TargetState::draining;
+    target.statusUrl = reader.text("status_url", false);
+    return target;
+  }
+
+  void parseLabels(JsonReader& reader, TargetConfig& target)
+  {
+    const boost::json::value* value = reader.field("labels", true);
+    if (value == nullptr) {
+      return;
+    }
+    const boost::json::object* labels = value->if_object();
+    if (labels == nullptr) {
+      reader.report("labels",
+                    "expected an object, found " + describeKind(*value));
+      return;
+    }
+    for (const auto& label : *labels) {
+      const std::string key(label.key());
+      const boost::json::string* text = label.value().if_string();
+      if (!isLabelKey(key) || text == nullptr || !isLabelValue(*text)) {
+        reader.report(
+          "labels." + key,
+          "expected a label key with a value of at most 63 letters, "
+          "digits, '-', '_' and '.'");
+        continue;
+      }
+      target.labels.emplace(key, std::string(*text));
+    }
+  }
+
+  void parseInstances(JsonReader& document)
+  {
+    const boost::json::array* array = document.array("instances", false);
+    std::set<std::string> ids;
+    for (std::size_t i = 0; array != nullptr && i < array->size(); ++i) {
+      JsonReader reader(
+        (*array)[i], document.pathOf("instances", i), this->result.fatal);
+      InstanceConfig instance;
+      instance.id = reader.text("id");
+      instance.zone = reader.text("zone");
+      instance.peerAddress = reader.endpoint("peer_address");
+      instance.leaving = reader.choice("state", { "live", "leaving" }, 0) == 1;
+      checkUnique(reader, "id", instance.id, ids);
+      reader.finish();
+      this->result.configuration.instances.push_back(std::move(instance));
+    }
+  }
+
+  /// \brief Reports each (address, protocol, port) that two services claim.
+  void checkOverlaps()
+  {
+    using Claim = std::tuple<IpAddress, Protocol, std::uint16_t>;
+    std::map<Claim, std::string> claims;
+    const auto& services = this->result.configuration.services;
+    for (std::size_t i = 0; i < services.size(); ++i) {
+      for (const IpAddress& address : services[i].addresses) {
+        for (const std::uint16_t port : services[i].ports) {
+          const Claim claim{ address, services[i].protocol, port };
+          const auto [found, added] = claims.emplace(claim, services[i].name);
+          if (added) {
+            continue;
+          }
+          this->result.fatal.push_back(
+            { "$.services[" + std::to_string(i) + "].addresses",
+              "expected an (address, protocol, port) of its own, found " +
+                formatEndpoint({ address, port }) + " already at service \"" +
+                found->second + "\"" });
+        }
+      }
+    }
+  }
+};
+
+}
+
+ParsedConfiguration
+parseConfiguration(std::string_view text)
+{
+  return internal::DocumentParser().parse(text);
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Config/Problem.h
@@ -0,0 +1,21 @@
+#ifndef BUCKTHORNWING_PROBLEM_H
+#define BUCKTHORNWING_PROBLEM_H
+
+#include <string>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief One thing wrong in a JSON document.
+struct Problem
+{
+  std::string path;     ///< JSON path, such as "$.services[0].selector"
+  std::string expected; ///< what was expected there, and what was found
+};
+
+/// \brief All problems of a document, in document order.
+using Problems = std::vector<Problem>;
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Config/Selection.h
@@ -0,0 +1,29 @@
+#ifndef BUCKTHORNWING_SELECTION_H
+#define BUCKTHORNWING_SELECTION_H
+
+#include "Configuration.h"
+
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief Indices into Configuration::targets, sorted by target id.
+using Selection = std::vector<std::size_t>;
+
+/// \returns the targets that the service's selector selects, draining ones
+/// among them; none if the service has no valid selector.
+Selection
+selectTargets(const Configuration& configuration, const ServiceConfig& service);
+
+/// \returns the selected targets that may be given new flows.
+Selection
+selectServingTargets(const Configuration& configuration,
+                     const ServiceConfig& service);
+
+/// \returns the service of that name, or nothing.
+const ServiceConfig*
+findService(const Configuration& configuration, std::string_view name);
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Core/MilliTime.h
@@ -0,0 +1,54 @@
+#ifndef BUCKTHORNWING_MILLI_TIME_H
+#define BUCKTHORNWING_MILLI_TIME_H
+
+#include <compare>
+#include <cstdint>
+
+namespace buckthornwing {
+
+/// \brief A span of time in whole milliseconds.
+struct MilliDuration
+{
+  std::int64_t ms = 0;
+
+  auto operator<=>(const MilliDuration&) const = default;
+};
+
+/// \brief A point of a monotonic clock, in milliseconds since its start.
+///
+/// The library never reads a clock: each call is given the present time.
+struct MilliTime
+{
+  std::int64_t ms = 0;
+
+  auto operator<=>(const MilliTime&) const = default;
+};
+
+constexpr MilliTime
+operator+(MilliTime time, MilliDuration span)
+{
+  return MilliTime{ time.ms + span.ms };
+}
+
+constexpr MilliDuration
+operator-(MilliTime later, MilliTime earlier)
+{
+  return MilliDuration{ later.ms - earlier.ms };
+}
+
+namespace literals {
+
+constexpr MilliDuration operator""_ms(unsigned long long ms)
+{
+  return MilliDuration{ static_cast<std::int64_t>(ms) };
+}
+
+constexpr MilliDuration operator""_s(unsigned long long seconds)
+{
+  return MilliDuration{ static_cast<std::int64_t>(seconds) * 1000 };
+}
+
+}
+}
+
+#endif
