--- /dev/null
+++ b/buckthornwing/src/Board/FlowTable.h
@@ -0,0 +1,52 @@
+#ifndef BUCKTHORNWING_FLOW_TABLE_H
+#define BUCKTHORNWING_FLOW_TABLE_H
+
+#include "../Core/FlowKey.h"
+#include "Service.h"
+#include "Target.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstdint>
+
+namespace buckthornwing {
+
+/// \brief What an entry is for, and what became of it.
+namespace entry_flag {
+/// This instance placed the flow or took it over.
+inline constexpr std::uint8_t kOwned = 1;
+/// Kept for another owner; not used for packets from the fabric.
+inline constexpr std::uint8_t kBackup = 2;
+/// The owner told every instance about the flow.
+inline constexpr std::uint8_t kAway = 4;
+/// The owner told this instance, because it relayed many packets.
+inline constexpr std::uint8_t kHint = 8;
+/// The caller closed or reset the flow.
+inline constexpr std::uint8_t kClosed = 16;
+/// The backup owner was told.
+inline constexpr std::uint8_t kBackedUp = 32;
+/// The third owner was told.
+inline constexpr std::uint8_t kBackedUpTwice = 64;
+/// Other instances hold hints of the flow.
+inline constexpr std::uint8_t kHinted = 128;
+}
+
+/// \brief One flow and its target; 16 bytes.
+struct FlowEntry
+{
+  TargetIndex target = kNoTargetIndex;
+  ServiceIndex service = kNoServiceIndex;
+  std::uint8_t flags = 0;
+  std::uint8_t relayedPackets = 0; ///< since the last hint, saturating
+  std::uint32_t placedSecond = 0;
+  std::uint32_t seenSecond = 0;
+
+  bool has(std::uint8_t flag) const { return (this->flags & flag) != 0; }
+};
+
+/// \brief All flows that this instance knows.
+using FlowTable =
+  boost::unordered_flat_map<FlowId, FlowEntry, std::hash<FlowId>>;
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -0,0 +1,382 @@
+#include "BucketStatesController.h"
+
+#include "../Peer/FlowRecord.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::uint8_t kMovedAnyhow =
+  bucket_flag::kPending | bucket_flag::kMoved | bucket_flag::kDiverted;
+/// \brief Instances that trust their view have heard within this time.
+constexpr MilliDuration kAnnouncedAfter{ 1200 };
+constexpr MilliDuration kAskPeriod{ 300 };
+constexpr MilliDuration kSettlePeriod{ 1000 };
+/// \brief Packed buckets in one part of an announcement.
+constexpr std::size_t kMostPartBytes = 1100;
+
+void
+clearFlags(std::uint8_t& flags, std::uint8_t mask)
+{
+  flags &= static_cast<std::uint8_t>(~mask);
+}
+
+}
+
+BucketStatesController::BucketStatesController(Blackboard& board,
+                                               RecordSender& sender)
+  : board(board)
+  , sender(sender)
+{
+}
+
+std::vector<BucketStates>
+BucketStatesController::buildStates() const
+{
+  std::vector<BucketStates> parts(1);
+  std::size_t bytes = 0;
+  for (const Service& service : this->board.services) {
+    std::vector<std::uint32_t> buckets;
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      const bool flagged = (service.flags[b] & internal::kMovedAnyhow) != 0;
+      if (flagged && this->board.slots[slotOf(b)].owners.primary == kSelf) {
+        buckets.push_back(b);
+      }
+    }
+    // A service with many buckets takes several parts.
+    constexpr std::size_t kBucketsPerPiece = 500;
+    for (std::size_t i = 0; i < buckets.size(); i += kBucketsPerPiece) {
+      const std::size_t count = std::min(kBucketsPerPiece, buckets.size() - i);
+      ServiceBuckets piece{
+        service.tag, packAscending(std::span(buckets).subspan(i, count))
+      };
+      if (bytes > 0 &&
+          bytes + piece.buckets.size() > internal::kMostPartBytes) {
+        parts.emplace_back();
+        bytes = 0;
+      }
+      bytes += piece.buckets.size() + sizeof piece.service;
+      parts.back().services.push_back(std::move(piece));
+    }
+  }
+  for (std::size_t i = 0; i < parts.size(); ++i) {
+    parts[i].version = this->board.statesVersion;
+    parts[i].revision = this->board.view.revision;
+    parts[i].part = static_cast<std::uint16_t>(i);
+    parts[i].parts = static_cast<std::uint16_t>(parts.size());
+  }
+  return parts;
+}
+
+void
+BucketStatesController::sendStates(MemberIndex to)
+{
+  for (BucketStates& part : this->buildStates()) {
+    this->board.send(to, std::move(part));
+  }
+}
+
+void
+BucketStatesController::announce()
+{
+  ++this->board.statesVersion;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (this->board.members[i].reachable()) {
+      this->sendStates(i);
+    }
+  }
+}
+
+void
+BucketStatesController::onBucketStates(MemberIndex from,
+                                       const BucketStates& states)
+{
+  const Member& member = this->board.members[from];
+  const bool current = states.revision == this->board.view.revision &&
+                       states.version == member.statesVersion &&
+                       states.parts > 0 && states.part < states.parts;
+  if (!current) {
+    return;
+  }
+  Assembly& assembly = this->assemblies[from];
+  if (assembly.version != states.version ||
+      assembly.have.size() != states.parts) {
+    assembly = Assembly{ states.version, std::vector<bool>(states.parts), {} };
+  }
+  assembly.have[states.part] = true;
+  for (const ServiceBuckets& piece : states.services) {
+    const auto service = this->board.serviceByTag.find(piece.service);
+    const auto buckets = unpackAscending(piece.buckets);
+    if (service == this->board.serviceByTag.end() || !buckets) {
+      return;
+    }
+    auto& flagged = assembly.flagged[service->second];
+    flagged.insert(flagged.end(), buckets->begin(), buckets->end());
+  }
+  const bool whole = std::all_of(
+    assembly.have.begin(), assembly.have.end(), [](bool have) { return have; });
+  if (whole) {
+    this->applyStates(from, assembly);
+    this->assemblies.erase(from);
+  }
+}
+
+void
+BucketStatesController::applyStates(MemberIndex from, const Assembly& assembly)
+{
+  for (std::size_t s = 0; s < this->board.services.size(); ++s) {
+    Service& service = this->board.services[s];
+    std::vector<bool> flagged(service.bucketCount());
+    const auto found = assembly.flagged.find(static_cast<ServiceIndex>(s));
+    if (found != assembly.flagged.end()) {
+      for (const std::uint32_t bucket : found->second) {
+        if (bucket < flagged.size()) {
+          flagged[bucket] = true;
+        }
+      }
+    }
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      std::uint8_t& flags = service.flags[b];
+      const Slot& slot = this->board.slots[slotOf(b)];
+      if (flagged[b] && (flags & internal::kMovedAnyhow) == 0) {
+        flags |= bucket_flag::kDiverted;
+      }
+      // Only the owner may clear, and a doubt about who that is keeps flags.
+      if (!flagged[b] && slot.owners.primary == from) {
+        internal::clearFlags(flags, internal::kMovedAnyhow);
+      }
+    }
+  }
+  Member& member = this->board.members[from];
+  member.statesSeen = member.statesVersion;
+}
+
+void
+BucketStatesController::onStatesRequest(MemberIndex from)
+{
+  if (std::find(this->requests.begin(), this->requests.end(), from) ==
+      this->requests.end()) {
+    this->requests.push_back(from);
+  }
+}
+
+void
+BucketStatesController::answerRequests()
+{
+  std::erase_if(this->requests, [&](MemberIndex to) {
+    Member& member = this->board.members[to];
+    if (!member.reachable()) {
+      return true;
+    }
+    if (!member.awaySent) {
+      member.awaySent = true;
+      for (const auto& [flow, entry] : this->board.flows) {
+        if (entry.has(entry_flag::kOwned) && entry.has(entry_flag::kAway)) {
+          this->sender.enqueue(to, BatchPurpose::away, flow);
+        }
+      }
+    }
+    // The flags are cleared only for a peer that knows the away flows.
+    if (!this->sender.idle(to, BatchPurpose::away)) {
+      return false;
+    }
+    this->sendStates(to);
+    return true;
+  });
+}
+
+void
+BucketStatesController::askForMissing(MilliTime now)
+{
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    Member& member = this->board.members[i];
+    const bool missing = member.reachable() &&
+                         member.statesSeen != member.statesVersion &&
+                         member.revision == this->board.view.revision;
+    const bool due = member.statesAskedAt.ms < 0 ||
+                     now - member.statesAskedAt >= internal::kAskPeriod;
+    if (missing && due) {
+      member.statesAskedAt = now;
+      this->board.send(i, StatesRequest{});
+    }
+  }
+}
+
+void
+BucketStatesController::divert(ServiceIndex index,
+                               TargetIndex target,
+                               MilliTime now)
+{
+  Service& service = this->board.services[index];
+  bool flaggedAny = false;
+  for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+    const bool mine = this->board.slots[slotOf(b)].acting();
+    const bool flagged = (service.flags[b] & bucket_flag::kDiverted) != 0;
+    if (service.table[b] == target && mine && !flagged) {
+      service.flags[b] |= bucket_flag::kDiverted;
+      flaggedAny = true;
+    }
+  }
+  if (!flaggedAny) {
+    return;
+  }
+  std::erase_if(service.diversions, [&](const Diversion& diversion) {
+    return diversion.target == target;
+  });
+  service.diversions.push_back({ target, now });
+  this->announce();
+  Event event;
+  event.kind = EventKind::diversion;
+  event.service = index;
+  event.target = target;
+  event.note = "started";
+  this->board.log(std::move(event));
+}
+
+bool
+BucketStatesController::divertedLongEnough(const Service& service,
+                                           TargetIndex target,
+                                           MilliTime now) const
+{
+  return std::any_of(service.diversions.begin(),
+                     service.diversions.end(),
+                     [&](const Diversion& diversion) {
+                       return diversion.target == target &&
+                              now - diversion.since >=
+                                internal::kAnnouncedAfter;
+                     });
+}
+
+void
+BucketStatesController::endDiversion(ServiceIndex index, TargetIndex target)
+{
+  Service& service = this->board.services[index];
+  std::erase_if(service.diversions, [&](const Diversion& diversion) {
+    return diversion.target == target;
+  });
+  Event event;
+  event.kind = EventKind::diversion;
+  event.service = index;
+  event.target = target;
+  event.note = "ended";
+  this->board.log(std::move(event));
+}
+
+void
+BucketStatesController::tick(MilliTime now)
+{
+  this->askForMissing(now);
+  this->answerRequests();
+  if (now >= this->nextSettleAt) {
+    this->nextSettleAt = now + internal::kSettlePeriod;
+    this->settle(now);
+  }
+}
+
+/// \returns whether any flow had to be queued.
+bool
+BucketStatesController::shareAwayFlows()
+{
+  bool queued = false;
+  for (auto& [flow, entry] : this->board.flows) {
+    const bool candidate =
+      entry.has(entry_flag::kOwned) &&
+      (entry.flags & (entry_flag::kAway | entry_flag::kClosed)) == 0;
+    if (!candidate) {
+      continue;
+    }
+    const Service& service = this->board.services[entry.service];
+    const BucketIndex bucket = bucketOf(flow, service.bucketCount());
+    const std::uint8_t flags = service.flags[bucket];
+    const bool settles = (flags & internal::kMovedAnyhow) != 0 &&
+                         (flags & bucket_flag::kFlexible) == 0 &&
+                         this->maySettle(service, bucket);
+    if (!settles || entry.target == service.table[bucket]) {
+      continue;
+    }
+    entry.flags |= entry_flag::kAway;
+    queued = true;
+    for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+      if (this->board.members[i].reachable()) {
+        this->sender.enqueue(i, BatchPurpose::away, flow);
+      }
+    }
+  }
+  return queued;
+}
+
+bool
+BucketStatesController::maySettle(const Service& service,
+                                  BucketIndex bucket) const
+{
+  const std::uint8_t flags = service.flags[bucket];
+  const Slot& slot = this->board.slots[slotOf(bucket)];
+  const bool diverted =
+    std::any_of(service.diversions.begin(),
+                service.diversions.end(),
+                [&](const Diversion& diversion) {
+                  return diversion.target == service.table[bucket];
+                });
+  return (flags & internal::kMovedAnyhow) != 0 &&
+         (flags & bucket_flag::kPending) == 0 && !diverted && slot.acting() &&
+         !slot.lending && slot.knowsAll;
+}
+
+std::size_t
+BucketStatesController::settleService(Service& service)
+{
+  std::size_t settled = 0;
+  for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+    if (this->maySettle(service, b)) {
+      internal::clearFlags(service.flags[b], internal::kMovedAnyhow);
+      ++settled;
+    }
+  }
+  return settled;
+}
+
+void
+BucketStatesController::settle(MilliTime /*now*/)
+{
+  if (!this->board.trust.trusted || this->board.view.commitPending) {
+    return;
+  }
+  bool any = false;
+  for (const Service& service : this->board.services) {
+    for (BucketIndex b = 0; b < service.bucketCount() && !any; ++b) {
+      any = (service.flags[b] & internal::kMovedAnyhow) != 0 &&
+            this->maySettle(service, b);
+    }
+  }
+  if (!any) {
+    return;
+  }
+  const bool queued = this->shareAwayFlows();
+  if (queued || !this->sender.idle(BatchPurpose::away)) {
+    return;
+  }
+  std::size_t settled = 0;
+  for (Service& service : this->board.services) {
+    settled += this->settleService(service);
+  }
+  this->announce();
+  Event event;
+  event.kind = EventKind::settled;
+  event.count = settled;
+  this->board.log(std::move(event));
+}
+
+void
+BucketStatesController::flagUnknownOwners()
+{
+  for (Service& service : this->board.services) {
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      if (this->board.mustAsk(service, b)) {
+        service.flags[b] |= bucket_flag::kDiverted;
+      }
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -0,0 +1,174 @@
+#include "FlowCare.h"
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr MilliDuration kWalkPeriod{ 1000 };
+/// \brief Idle times after which a flow is forgotten, in seconds.
+constexpr std::uint32_t kTcpIdleSeconds = 900;
+constexpr std::uint32_t kUdpIdleSeconds = 120;
+/// \brief A hint whose flow is idle may outlive the flow only briefly.
+constexpr std::uint32_t kHintIdleSeconds = 60;
+/// \brief An instance that others told of an away flow keeps it longer than
+/// its owner, who withdraws it.
+constexpr std::uint32_t kAwayIdleSeconds = 1800;
+/// \brief A closed flow's key is remembered longer than any hint of it.
+constexpr std::uint32_t kClosedSeconds = 120;
+/// \brief Flows of this age get a copy in a third zone.
+constexpr std::uint32_t kThirdCopyAfterSeconds = 10;
+/// \brief Relayed packets of a flow, through one owner, that earn a hint.
+constexpr std::uint8_t kRelayedForHint = 4;
+/// \brief A slot held for so long has seen each of its open flows.
+constexpr MilliDuration kKnowsAllAfter{ 900000 };
+
+}
+
+FlowCare::FlowCare(Blackboard& board, RecordSender& sender)
+  : board(board)
+  , sender(sender)
+{
+}
+
+bool
+FlowCare::expired(const FlowEntry& entry, std::uint32_t second) const
+{
+  const std::uint32_t idle =
+    second > entry.seenSecond ? second - entry.seenSecond : 0;
+  if (entry.has(entry_flag::kClosed)) {
+    return idle > internal::kClosedSeconds;
+  }
+  const Protocol protocol = this->board.services[entry.service].config.protocol;
+  const std::uint32_t limit = protocol == Protocol::tcp
+                                ? internal::kTcpIdleSeconds
+                                : internal::kUdpIdleSeconds;
+  if (entry.has(entry_flag::kOwned) || entry.has(entry_flag::kBackup)) {
+    return idle > limit;
+  }
+  if (entry.has(entry_flag::kAway)) {
+    return idle > internal::kAwayIdleSeconds;
+  }
+  return idle > internal::kHintIdleSeconds;
+}
+
+void
+FlowCare::count(const FlowEntry& entry, const Slot& slot)
+{
+  const bool counts = slot.acting() && entry.has(entry_flag::kOwned) &&
+                      !entry.has(entry_flag::kClosed);
+  if (counts) {
+    ++this->board.targets[entry.target].ownFlows;
+    ++this->board.services[entry.service].ownFlows;
+  }
+}
+
+void
+FlowCare::backUp(FlowId flow,
+                 FlowEntry& entry,
+                 const Slot& slot,
+                 std::uint32_t second)
+{
+  const bool wanted = this->board.settings.policy.backups && slot.acting() &&
+                      entry.has(entry_flag::kOwned) &&
+                      !entry.has(entry_flag::kClosed);
+  if (!wanted) {
+    return;
+  }
+  if (!entry.has(entry_flag::kBackedUp) && slot.owners.second != kSelf) {
+    entry.flags |= entry_flag::kBackedUp;
+    this->sender.enqueue(slot.owners.second, BatchPurpose::backup, flow);
+  }
+  const bool old =
+    second >= entry.placedSecond + internal::kThirdCopyAfterSeconds;
+  if (old && !entry.has(entry_flag::kBackedUpTwice) &&
+      slot.owners.third != kSelf) {
+    entry.flags |= entry_flag::kBackedUpTwice;
+    this->sender.enqueue(slot.owners.third, BatchPurpose::backup, flow);
+  }
+}
+
+void
+FlowCare::checkKnowledge(MilliTime now)
+{
+  for (Slot& slot : this->board.slots) {
+    if (slot.acting() && now - slot.heldSince >= internal::kKnowsAllAfter) {
+      slot.knowsAll = true;
+    }
+  }
+}
+
+void
+FlowCare::tick(MilliTime now)
+{
+  if (now < this->nextWalkAt) {
+    return;
+  }
+  this->nextWalkAt = now + internal::kWalkPeriod;
+  const auto second = static_cast<std::uint32_t>(now.ms / 1000);
+  for (Target& target : this->board.targets) {
+    target.ownFlows = 0;
+  }
+  for (Service& service : this->board.services) {
+    service.ownFlows = 0;
+  }
+  for (auto next = this->board.flows.begin();
+       next != this->board.flows.end();) {
+    FlowEntry& entry = next->second;
+    if (this->expired(entry, second)) {
+      this->board.flows.erase(next++);
+      continue;
+    }
+    const Service& service = this->board.services[entry.service];
+    const BucketIndex bucket = bucketOf(next->first, service.bucketCount());
+    const Slot& slot = this->board.slots[slotOf(bucket)];
+    this->count(entry, slot);
+    if (service.flags[bucket] != 0 || entry.target != service.table[bucket]) {
+      this->backUp(next->first, entry, slot, second);
+    }
+    ++next;
+  }
+  this->checkKnowledge(now);
+}
+
+void
+FlowCare::noteRelayed(FlowId flow, FlowEntry& entry, MemberIndex relayer)
+{
+  const bool wanted = this->board.settings.policy.hints &&
+                      entry.has(entry_flag::kOwned) &&
+                      !entry.has(entry_flag::kClosed) && relayer != kNoMember;
+  if (!wanted) {
+    return;
+  }
+  if (++entry.relayedPackets < internal::kRelayedForHint) {
+    return;
+  }
+  entry.relayedPackets = 0;
+  entry.flags |= entry_flag::kHinted;
+  this->sender.enqueue(relayer, BatchPurpose::hint, flow);
+}
+
+void
+FlowCare::noteClosed(FlowId flow, FlowEntry& entry, MilliTime now)
+{
+  entry.seenSecond = static_cast<std::uint32_t>(now.ms / 1000);
+  if (entry.has(entry_flag::kClosed)) {
+    return;
+  }
+  entry.flags |= entry_flag::kClosed;
+  if (!entry.has(entry_flag::kOwned)) {
+    return;
+  }
+  Target& target = this->board.targets[entry.target];
+  Service& service = this->board.services[entry.service];
+  target.ownFlows -= target.ownFlows > 0 ? 1 : 0;
+  service.ownFlows -= service.ownFlows > 0 ? 1 : 0;
+  if (!entry.has(entry_flag::kAway)) {
+    return;
+  }
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (this->board.members[i].reachable()) {
+      this->sender.enqueue(i, BatchPurpose::withdraw, flow);
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -0,0 +1,328 @@
+#include "OwnershipController.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief A new primary waits so long for the old one's transfer.
+constexpr MilliDuration kTransferWithin{ 8000 };
+
+}
+
+OwnershipController::OwnershipController(Blackboard& board,
+                                         RecordSender& sender)
+  : board(board)
+  , sender(sender)
+{
+}
+
+SlotIndex
+OwnershipController::slotOfEntry(FlowId flow, const FlowEntry& entry) const
+{
+  const Service& service = this->board.services[entry.service];
+  return slotOf(bucketOf(flow, service.bucketCount()));
+}
+
+void
+OwnershipController::startLending(Slot& slot)
+{
+  slot.lending = true;
+  slot.transferSent = false;
+}
+
+/// \returns whether the slot's flows must be sent to its new primary.
+bool
+OwnershipController::updateSlot(Slot& slot,
+                                const SlotOwners& owners,
+                                MilliTime now)
+{
+  const MemberIndex before = slot.owners.primary;
+  const bool acting = slot.acting();
+  slot.owners = owners;
+  if (slot.waitingFor != kNoMember &&
+      !this->board.members[slot.waitingFor].reachable()) {
+    slot.waitingFor = kNoMember;
+    slot.heldSince = now;
+    slot.knowsAll = false;
+  }
+  if (before == owners.primary) {
+    return false;
+  }
+  if (owners.primary == kSelf) {
+    if (slot.lending) {
+      slot.lending = false;
+      return false;
+    }
+    const bool handsOver =
+      before != kNoMember && this->board.members[before].reachable();
+    slot.waitingFor = handsOver ? before : kNoMember;
+    slot.waitUntil = now + internal::kTransferWithin;
+    slot.heldSince = now;
+    slot.knowsAll = false;
+    return false;
+  }
+  slot.waitingFor = kNoMember;
+  if (acting) {
+    this->startLending(slot);
+  }
+  // A backup owner also tells the new primary, in case the old one is gone.
+  return true;
+}
+
+void
+OwnershipController::reassign(MilliTime now)
+{
+  const std::vector<SlotOwners> owners = computeOwners(this->board.members);
+  std::vector<bool> toSend(kSlotCount);
+  std::vector<bool> gained(kSlotCount);
+  std::size_t changed = 0;
+  for (SlotIndex i = 0; i < kSlotCount; ++i) {
+    Slot& slot = this->board.slots[i];
+    const bool wasPrimary = slot.owners.primary == kSelf;
+    changed += slot.owners.primary == owners[i].primary ? 0 : 1;
+    toSend[i] = this->updateSlot(slot, owners[i], now);
+    gained[i] = !wasPrimary && slot.owners.primary == kSelf;
+  }
+  if (changed == 0) {
+    return;
+  }
+  ++this->board.counters.ownerChanges;
+  this->takeOver(gained);
+  this->queueHandovers(toSend);
+  Event event;
+  event.kind = EventKind::owners;
+  event.count = changed;
+  this->board.log(std::move(event));
+}
+
+/// \brief What this instance kept for others becomes its own.
+void
+OwnershipController::takeOver(const std::vector<bool>& slots)
+{
+  constexpr std::uint8_t kCopies =
+    entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
+  for (auto& [flow, entry] : this->board.flows) {
+    if (slots[this->slotOfEntry(flow, entry)]) {
+      entry.flags |= entry_flag::kOwned;
+      entry.flags &= static_cast<std::uint8_t>(~kCopies);
+    }
+  }
+}
+
+void
+OwnershipController::queueHandovers(const std::vector<bool>& slots)
+{
+  constexpr std::uint8_t kWorthSending =
+    entry_flag::kOwned | entry_flag::kBackup;
+  for (const auto& [flow, entry] : this->board.flows) {
+    const SlotIndex index = this->slotOfEntry(flow, entry);
+    if (slots[index] && (entry.flags & kWorthSending) != 0) {
+      const MemberIndex primary = this->board.slots[index].owners.primary;
+      this->sender.enqueue(primary, BatchPurpose::handover, flow);
+    }
+  }
+}
+
+void
+OwnershipController::tick(MilliTime now)
+{
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (this->sender.idle(i, BatchPurpose::handover)) {
+      this->finishTransfersTo(i, now);
+    }
+  }
+  for (Slot& slot : this->board.slots) {
+    if (slot.waitingFor != kNoMember && now >= slot.waitUntil) {
+      slot.waitingFor = kNoMember;
+      slot.heldSince = now;
+      slot.knowsAll = false;
+    }
+  }
+}
+
+void
+OwnershipController::finishTransfersTo(MemberIndex member, MilliTime now)
+{
+  std::vector<std::uint32_t> complete;
+  std::vector<std::uint32_t> partial;
+  std::vector<bool> released(kSlotCount);
+  for (SlotIndex i = 0; i < kSlotCount; ++i) {
+    Slot& slot = this->board.slots[i];
+    if (!slot.lending || slot.owners.primary != member) {
+      continue;
+    }
+    (slot.knowsAll ? complete : partial).push_back(i);
+    slot.lending = false;
+    slot.knowsAll = false;
+    released[i] = true;
+  }
+  for (const bool isComplete : { true, false }) {
+    const auto& slots = isComplete ? complete : partial;
+    if (slots.empty()) {
+      continue;
+    }
+    this->sender.sendReliably(
+      member, OwnershipTransfer{ 0, isComplete, packAscending(slots) }, now);
+    Event event;
+    event.kind = EventKind::transfer;
+    event.member = member;
+    event.count = slots.size();
+    event.note = isComplete ? "complete" : "partial";
+    this->board.log(std::move(event));
+  }
+  if (!complete.empty() || !partial.empty()) {
+    this->releaseSlots(released);
+  }
+}
+
+/// \brief Keeps the records of released slots as backups.
+void
+OwnershipController::releaseSlots(const std::vector<bool>& released)
+{
+  for (auto& [flow, entry] : this->board.flows) {
+    if (released[this->slotOfEntry(flow, entry)] &&
+        entry.has(entry_flag::kOwned)) {
+      entry.flags &= static_cast<std::uint8_t>(~entry_flag::kOwned);
+      entry.flags |= entry_flag::kBackup;
+    }
+  }
+}
+
+void
+OwnershipController::onTransfer(MemberIndex from,
+                                const OwnershipTransfer& transfer,
+                                MilliTime now)
+{
+  const auto slots = unpackAscending(transfer.slots);
+  if (!slots) {
+    return;
+  }
+  bool allMine = true;
+  for (const std::uint32_t index : *slots) {
+    if (index >= kSlotCount) {
+      return;
+    }
+    Slot& slot = this->board.slots[index];
+    if (slot.owners.primary != kSelf) {
+      allMine = false;
+      continue;
+    }
+    if (slot.waitingFor == from) {
+      slot.waitingFor = kNoMember;
+      slot.heldSince = now;
+    }
+    slot.knowsAll = slot.knowsAll || transfer.complete;
+  }
+  // Unacknowledged, it comes again when this instance's view has caught up.
+  if (allMine) {
+    this->sender.acknowledge(from, transfer.sequence);
+  }
+}
+
+void
+OwnershipController::onBatch(MemberIndex from,
+                             const FlowBatch& batch,
+                             MilliTime now)
+{
+  const auto records = unpackFlowRecords(batch.records);
+  if (!records) {
+    return;
+  }
+  const auto service = this->board.serviceByTag.find(batch.service);
+  std::vector<TargetIndex> targets;
+  bool allKnown = service != this->board.serviceByTag.end();
+  for (const std::uint32_t tag : batch.targets) {
+    const auto found = this->board.targetByTag.find(tag);
+    const bool known = found != this->board.targetByTag.end();
+    targets.push_back(known ? found->second : kNoTargetIndex);
+    allKnown = allKnown && known;
+  }
+  if (!allKnown) {
+    // It speaks of a newer configuration; the sender repeats it.
+    return;
+  }
+  for (const FlowRecord& record : *records) {
+    if (record.target < targets.size()) {
+      this->takeRecord(
+        record, service->second, targets[record.target], batch.purpose, now);
+    }
+  }
+  this->sender.acknowledge(from, batch.sequence);
+}
+
+void
+OwnershipController::takeRecord(const FlowRecord& record,
+                                ServiceIndex service,
+                                TargetIndex target,
+                                BatchPurpose purpose,
+                                MilliTime now)
+{
+  const auto found = this->board.flows.find(record.flow);
+  const bool known = found != this->board.flows.end();
+  if (purpose == BatchPurpose::withdraw) {
+    if (known && !found->second.has(entry_flag::kOwned)) {
+      this->board.flows.erase(found);
+    }
+    return;
+  }
+  FlowEntry arrived;
+  arrived.target = target;
+  arrived.service = service;
+  arrived.placedSecond = static_cast<std::uint32_t>(
+    std::max<std::int64_t>(0, now.ms - record.age.ms) / 1000);
+  arrived.seenSecond = static_cast<std::uint32_t>(now.ms / 1000);
+  switch (purpose) {
+    case BatchPurpose::handover:
+      arrived.flags = entry_flag::kOwned;
+      break;
+    case BatchPurpose::backup:
+      arrived.flags = entry_flag::kBackup;
+      break;
+    case BatchPurpose::away:
+      arrived.flags = entry_flag::kAway;
+      break;
+    case BatchPurpose::hint:
+    case BatchPurpose::withdraw:
+      arrived.flags = entry_flag::kHint;
+      break;
+  }
+  if (!known) {
+    this->board.flows.emplace(record.flow, arrived);
+    return;
+  }
+  FlowEntry& entry = found->second;
+  const bool owned = entry.has(entry_flag::kOwned);
+  if (owned && entry.target != target) {
+    // Two sides of a partition placed it: the older placement stays, and of
+    // two equally old ones that with the lower tag.
+    const auto& targets = this->board.targets;
+    const bool olderHere = entry.placedSecond < arrived.placedSecond;
+    const bool sameAge = entry.placedSecond == arrived.placedSecond;
+    const bool lowerHere = targets[entry.target].tag < targets[target].tag;
+    if (olderHere || (sameAge && lowerHere) ||
+        purpose != BatchPurpose::handover) {
+      return;
+    }
+  }
+  entry.target = target;
+  entry.service = service;
+  entry.placedSecond = std::min(entry.placedSecond, arrived.placedSecond);
+  entry.seenSecond = arrived.seenSecond;
+  entry.flags |= arrived.flags;
+  if (!owned) {
+    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kClosed);
+  }
+}
+
+bool
+OwnershipController::drained() const
+{
+  const bool lends = std::any_of(
+    this->board.slots.begin(), this->board.slots.end(), [&](const Slot& slot) {
+      return slot.lending && slot.owners.primary != kNoMember;
+    });
+  return !lends && this->sender.transfersDone();
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -0,0 +1,297 @@
+#include "RecordSender.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief Records in one batch; keeps a datagram below the usual path MTU.
+constexpr std::size_t kMostRecords = 110;
+/// \brief Distinct targets in one batch; records hold a one-byte position.
+constexpr std::size_t kMostTargets = 60;
+/// \brief Envelope, header and the acknowledgement of one batch.
+constexpr double kBatchOverheadBytes = 110;
+/// \brief Small batches wait so long for company.
+constexpr MilliDuration kGatherFor{ 500 };
+constexpr std::size_t kWorthSending = 60;
+constexpr MilliDuration kRepeatAfter{ 500 };
+constexpr unsigned kMostTries = 20;
+/// \brief Bounds the work of one tick.
+constexpr unsigned kMostBatchesPerTick = 64;
+
+/// \brief Purposes in the order in which they are served.
+constexpr std::array kPurposes{ BatchPurpose::handover,
+                                BatchPurpose::withdraw,
+                                BatchPurpose::backup,
+                                BatchPurpose::away,
+                                BatchPurpose::hint };
+
+}
+
+RecordSender::RecordSender(Blackboard& board)
+  : board(board)
+{
+  this->budget.configure(board.settings.transferBytesPerSecond,
+                         board.settings.transferBurstBytes);
+}
+
+void
+RecordSender::enqueue(MemberIndex to, BatchPurpose purpose, FlowId flow)
+{
+  const auto found = this->board.flows.find(flow);
+  if (to == kNoMember || to == kSelf || found == this->board.flows.end()) {
+    return;
+  }
+  const QueueKey key{ purpose, found->second.service, to };
+  this->queues[key].flows.push_back(flow);
+}
+
+void
+RecordSender::sendReliably(MemberIndex to,
+                           OwnershipTransfer transfer,
+                           MilliTime now)
+{
+  transfer.sequence = this->nextSequence++;
+  this->board.send(to, transfer);
+  this->pending[transfer.sequence] = Pending{ to, transfer, now, 1 };
+}
+
+void
+RecordSender::acknowledge(MemberIndex to, std::uint32_t sequence)
+{
+  this->acknowledgements[to].push_back(sequence);
+}
+
+void
+RecordSender::onAcknowledgement(const Acknowledgement& acknowledgement)
+{
+  for (const std::uint32_t sequence : acknowledgement.sequences) {
+    this->pending.erase(sequence);
+  }
+}
+
+void
+RecordSender::tick(MilliTime now)
+{
+  this->repeat(now);
+  this->pump(now);
+  this->sendAcknowledgements();
+}
+
+void
+RecordSender::pump(MilliTime now)
+{
+  this->budget.refill(now);
+  unsigned batches = 0;
+  for (const BatchPurpose purpose : internal::kPurposes) {
+    while (batches < internal::kMostBatchesPerTick &&
+           this->pumpPurpose(purpose, now)) {
+      ++batches;
+    }
+  }
+}
+
+bool
+RecordSender::ready(const QueueKey& key, Queue& queue, MilliTime now) const
+{
+  if (queue.flows.empty()) {
+    return false;
+  }
+  if (key.purpose == BatchPurpose::handover) {
+    return true;
+  }
+  if (this->budget.tokens <= 0) {
+    return false;
+  }
+  if (queue.waitingSince.ms < 0) {
+    queue.waitingSince = now;
+  }
+  return queue.flows.size() >= internal::kWorthSending ||
+         now - queue.waitingSince >= internal::kGatherFor;
+}
+
+bool
+RecordSender::pumpPurpose(BatchPurpose purpose, MilliTime now)
+{
+  // Start behind the queue that was served last, so that queues take turns.
+  const auto begin = this->queues.lower_bound({ purpose, 0, 0 });
+  const auto end =
+    this->queues.upper_bound({ purpose, kNoServiceIndex, kNoMember });
+  auto start = this->queues.upper_bound(this->lastServed);
+  const bool within = this->lastServed.purpose == purpose;
+  if (!within || start == end) {
+    start = begin;
+  }
+  const auto steps = std::distance(begin, end);
+  auto next = start;
+  for (auto step = steps; step > 0; --step) {
+    if (this->ready(next->first, next->second, now)) {
+      break;
+    }
+    ++next;
+    next = next == end ? begin : next;
+    if (step == 1) {
+      return false;
+    }
+  }
+  if (steps == 0) {
+    return false;
+  }
+  const QueueKey key = next->first;
+  this->lastServed = key;
+  FlowBatch batch = this->buildBatch(key, next->second, now);
+  if (next->second.flows.empty()) {
+    this->queues.erase(next);
+  }
+  const MemberIndex to = key.to;
+  if (batch.records.empty() || !this->board.members[to].reachable()) {
+    return true;
+  }
+  this->budget.force(static_cast<double>(batch.records.size()) +
+                       internal::kBatchOverheadBytes,
+                     now);
+  this->countSent(batch);
+  this->board.send(to, batch);
+  const std::uint32_t sequence = batch.sequence;
+  this->pending[sequence] = Pending{ to, std::move(batch), now, 1 };
+  return true;
+}
+
+bool
+RecordSender::stillWanted(const FlowEntry& entry, BatchPurpose purpose) const
+{
+  if (purpose == BatchPurpose::withdraw) {
+    return entry.has(entry_flag::kClosed);
+  }
+  return !entry.has(entry_flag::kClosed);
+}
+
+FlowBatch
+RecordSender::buildBatch(const QueueKey& key, Queue& queue, MilliTime now)
+{
+  FlowBatch batch;
+  batch.sequence = this->nextSequence++;
+  batch.purpose = key.purpose;
+  const ServiceIndex service = key.service;
+  batch.service = this->board.services[service].tag;
+  std::size_t records = 0;
+  while (!queue.flows.empty() && records < internal::kMostRecords) {
+    const FlowId flow = queue.flows.front();
+    const auto found = this->board.flows.find(flow);
+    const bool wanted = found != this->board.flows.end() &&
+                        found->second.service == service &&
+                        this->stillWanted(found->second, batch.purpose);
+    if (!wanted) {
+      queue.flows.pop_front();
+      continue;
+    }
+    const std::uint32_t tag = this->board.targets[found->second.target].tag;
+    auto position = std::find(batch.targets.begin(), batch.targets.end(), tag);
+    if (position == batch.targets.end()) {
+      if (batch.targets.size() == internal::kMostTargets) {
+        break;
+      }
+      position = batch.targets.insert(batch.targets.end(), tag);
+    }
+    const std::int64_t placedMs =
+      std::int64_t{ found->second.placedSecond } * 1000;
+    const FlowRecord record{ flow,
+                             static_cast<std::uint8_t>(position -
+                                                       batch.targets.begin()),
+                             MilliDuration{ now.ms - placedMs } };
+    packFlowRecord(record, batch.records);
+    queue.flows.pop_front();
+    ++records;
+  }
+  queue.waitingSince = MilliTime{ -1 };
+  return batch;
+}
+
+void
+RecordSender::countSent(const FlowBatch& batch)
+{
+  const std::size_t records = batch.records.size() / kFlowRecordBytes;
+  Counters& counters = this->board.counters;
+  switch (batch.purpose) {
+    case BatchPurpose::handover:
+      counters.handedOver += records;
+      break;
+    case BatchPurpose::backup:
+      counters.backedUp += records;
+      break;
+    case BatchPurpose::away:
+    case BatchPurpose::withdraw:
+      counters.awayShared += records;
+      break;
+    case BatchPurpose::hint:
+      counters.hinted += records;
+      break;
+  }
+}
+
+void
+RecordSender::repeat(MilliTime now)
+{
+  for (auto next = this->pending.begin(); next != this->pending.end();) {
+    Pending& pending = next->second;
+    const bool lost = !this->board.members[pending.to].reachable() ||
+                      pending.tries >= internal::kMostTries;
+    if (lost) {
+      next = this->pending.erase(next);
+      continue;
+    }
+    if (now - pending.sentAt >= internal::kRepeatAfter) {
+      pending.sentAt = now;
+      ++pending.tries;
+      this->board.send(pending.to, pending.body);
+    }
+    ++next;
+  }
+}
+
+void
+RecordSender::sendAcknowledgements()
+{
+  for (auto& [member, sequences] : this->acknowledgements) {
+    this->board.send(member, Acknowledgement{ std::move(sequences) });
+  }
+  this->acknowledgements.clear();
+}
+
+bool
+RecordSender::idle(MemberIndex to, BatchPurpose purpose) const
+{
+  const auto queued = [&](const auto& item) {
+    return item.first.to == to && item.first.purpose == purpose;
+  };
+  const auto unanswered = [&](const auto& item) {
+    const auto* batch = std::get_if<FlowBatch>(&item.second.body);
+    return item.second.to == to && batch != nullptr &&
+           batch->purpose == purpose;
+  };
+  return std::none_of(this->queues.begin(), this->queues.end(), queued) &&
+         std::none_of(this->pending.begin(), this->pending.end(), unanswered);
+}
+
+bool
+RecordSender::idle(BatchPurpose purpose) const
+{
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (this->board.members[i].reachable() && !this->idle(i, purpose)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool
+RecordSender::transfersDone() const
+{
+  return std::none_of(
+    this->pending.begin(), this->pending.end(), [](const auto& item) {
+      return std::holds_alternative<OwnershipTransfer>(item.second.body);
+    });
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -0,0 +1,186 @@
+#include "LoadController.h"
+
+#include "../Peer/FlowRecord.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief Time between two summaries to each peer.
+constexpr MilliDuration kSummaryPeriod{ 2000 };
+/// \brief Reports older than this are no evidence.
+constexpr MilliDuration kReportFresh{ 5000 };
+/// \brief Failed reports in a row that make a target look unfit.
+constexpr unsigned kFailuresToUnfit = 3;
+/// \brief A target that starts to serve reaches its full share in this time.
+constexpr MilliDuration kWarmUp{ 10000 };
+constexpr double kLeastWarmth = 0.1;
+
+}
+
+LoadController::LoadController(Blackboard& board)
+  : board(board)
+{
+}
+
+void
+LoadController::onReport(TargetIndex index,
+                         const LoadReport& report,
+                         MilliTime now)
+{
+  Target& target = this->board.targets[index];
+  target.report = report;
+  target.reportedAt = now;
+  const bool good = report.reachable && report.healthy;
+  target.failedReports = good ? 0 : target.failedReports + 1;
+}
+
+void
+LoadController::onSummary(MemberIndex from, const LoadSummary& summary)
+{
+  if (summary.revision != this->board.view.revision) {
+    return;
+  }
+  const auto counts = unpackNumbers(summary.counts);
+  const auto serviceCounts = unpackNumbers(summary.serviceCounts);
+  if (!counts || counts->size() != this->board.publishedTargets.size() ||
+      !serviceCounts ||
+      serviceCounts->size() != this->board.publishedServices.size()) {
+    return;
+  }
+  Summary& kept = this->summaries[from];
+  kept.byTarget.assign(this->board.targets.size(), 0);
+  for (std::size_t i = 0; i < counts->size(); ++i) {
+    kept.byTarget[this->board.publishedTargets[i]] = (*counts)[i];
+  }
+  kept.byService.assign(this->board.services.size(), 0);
+  for (std::size_t i = 0; i < serviceCounts->size(); ++i) {
+    kept.byService[this->board.publishedServices[i]] = (*serviceCounts)[i];
+  }
+  this->sumUp();
+}
+
+void
+LoadController::onOwnersChanged()
+{
+  std::erase_if(this->summaries, [&](const auto& item) {
+    return !this->board.members[item.first].reachable();
+  });
+  this->sumUp();
+}
+
+void
+LoadController::sumUp()
+{
+  for (std::size_t i = 0; i < this->board.targets.size(); ++i) {
+    std::uint32_t sum = 0;
+    for (const auto& [member, summary] : this->summaries) {
+      sum += i < summary.byTarget.size() ? summary.byTarget[i] : 0;
+    }
+    this->board.targets[i].peerFlows = sum;
+  }
+  for (std::size_t i = 0; i < this->board.services.size(); ++i) {
+    std::uint32_t sum = 0;
+    for (const auto& [member, summary] : this->summaries) {
+      sum += i < summary.byService.size() ? summary.byService[i] : 0;
+    }
+    this->board.services[i].peerFlows = sum;
+  }
+}
+
+void
+LoadController::tick(MilliTime now)
+{
+  if (now < this->nextSummaryAt || this->board.view.revision == 0) {
+    return;
+  }
+  this->nextSummaryAt = now + internal::kSummaryPeriod;
+  std::vector<std::uint32_t> counts;
+  for (const TargetIndex index : this->board.publishedTargets) {
+    Target& target = this->board.targets[index];
+    counts.push_back(target.ownFlows);
+    target.placedSinceSummary = 0;
+  }
+  std::vector<std::uint32_t> serviceCounts;
+  for (const ServiceIndex index : this->board.publishedServices) {
+    serviceCounts.push_back(this->board.services[index].ownFlows);
+  }
+  const LoadSummary summary{ this->board.view.revision,
+                             packNumbers(counts),
+                             packNumbers(serviceCounts) };
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (this->board.members[i].owner()) {
+      this->board.send(i, summary);
+    }
+  }
+}
+
+double
+LoadController::estimate(TargetIndex index, MilliTime now) const
+{
+  const Target& target = this->board.targets[index];
+  // Peers place at about this instance's own rate since they last reported.
+  const auto peers = static_cast<double>(this->board.ownerCount() - 1);
+  const double counted =
+    target.ownFlows + target.peerFlows + target.placedSinceSummary * peers;
+  const bool fresh = target.reportedAt.ms >= 0 &&
+                     now - target.reportedAt < internal::kReportFresh;
+  const double reported = fresh ? target.report.connections : 0;
+  return std::max(counted, reported);
+}
+
+double
+LoadController::warmth(TargetIndex index, MilliTime now) const
+{
+  const Target& target = this->board.targets[index];
+  const auto age = static_cast<double>((now - target.servingSince).ms);
+  const double warmth = age / static_cast<double>(internal::kWarmUp.ms);
+  return std::clamp(warmth, internal::kLeastWarmth, 1.0);
+}
+
+double
+LoadController::placementCost(TargetIndex index, MilliTime now) const
+{
+  return (this->estimate(index, now) + 1) / this->warmth(index, now);
+}
+
+bool
+LoadController::looksFit(const Target& target, MilliTime now) const
+{
+  if (target.failedReports >= internal::kFailuresToUnfit) {
+    return false;
+  }
+  const bool fresh = target.reportedAt.ms >= 0 &&
+                     now - target.reportedAt < internal::kReportFresh;
+  return !fresh || !target.report.shedding;
+}
+
+bool
+LoadController::evidenceHolds(const Service& service, MilliTime now) const
+{
+  const auto unfit = std::count_if(
+    service.serving.begin(), service.serving.end(), [&](TargetIndex target) {
+      return !this->looksFit(this->board.targets[target], now);
+    });
+  return 2 * static_cast<std::size_t>(unfit) <= service.serving.size();
+}
+
+bool
+LoadController::available(const Service& service,
+                          TargetIndex index,
+                          MilliTime now) const
+{
+  if (index == kNoTargetIndex) {
+    return false;
+  }
+  const Target& target = this->board.targets[index];
+  const std::uint32_t most = target.config.maxConnections;
+  const bool full = most > 0 && this->estimate(index, now) >= most;
+  if (!target.serving() || full) {
+    return false;
+  }
+  return this->looksFit(target, now) || !this->evidenceHolds(service, now);
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -0,0 +1,536 @@
+#include "MembershipController.h"
+
+#include "../Core/Assert.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief Time between two probes of one instance.
+constexpr MilliDuration kProbePeriod{ 250 };
+/// \brief A ping unanswered for so long is tried through others.
+constexpr MilliDuration kIndirectAfter{ 150 };
+/// \brief A ping unanswered for so long makes its member suspect.
+constexpr MilliDuration kSuspectAfter{ 600 };
+/// \brief A suspect that does not refute within this time is dead.
+constexpr MilliDuration kDeadAfter{ 1500 };
+/// \brief Instances that are asked to ping one that did not answer.
+constexpr unsigned kIndirectProbes = 2;
+/// \brief One probe in so many goes to a member that is dead or never heard.
+constexpr unsigned kUnreachableProbeEvery = 4;
+/// \brief Updates that one probe carries at most.
+constexpr std::size_t kMostUpdates = 6;
+/// \brief Instances that are told of a change directly; others by probes.
+constexpr std::size_t kMostDirectAnnouncements = 64;
+/// \brief How often a revision is told again to those that have not got it.
+constexpr MilliDuration kRevisionNoticePeriod{ 250 };
+
+/// \returns how often an update is sent in a fleet of this size.
+unsigned
+retransmissionsFor(std::size_t memberCount)
+{
+  constexpr unsigned kPerDoubling = 3;
+  return kPerDoubling * static_cast<unsigned>(std::bit_width(memberCount + 1));
+}
+
+}
+
+MembershipController::MembershipController(Blackboard& board)
+  : board(board)
+{
+}
+
+void
+MembershipController::start(std::uint32_t incarnation, MilliTime now)
+{
+  BUCKTHORNWING_REQUIRE(this->board.members.empty());
+  const EngineSettings& settings = this->board.settings;
+  Member self;
+  self.id = settings.id;
+  self.zone = settings.zone;
+  self.address = settings.peerAddress;
+  self.tag = memberTag(self.id);
+  self.liveness = Liveness::alive;
+  self.incarnation = incarnation;
+  this->board.memberByTag.emplace(self.tag, kSelf);
+  this->board.members.push_back(std::move(self));
+  this->board.trust.startedAt = now;
+  for (const Endpoint& seed : settings.seeds) {
+    this->pingEndpoint(seed);
+  }
+}
+
+MemberIndex
+MembershipController::addMember(const MemberUpdate& update)
+{
+  const MemberTag tag = memberTag(update.id);
+  const MemberIndex known = this->board.findMember(tag);
+  if (known != kNoMember) {
+    return known;
+  }
+  Member member;
+  member.id = update.id;
+  member.zone = update.zone;
+  member.address = update.address;
+  member.tag = tag;
+  const auto index = static_cast<MemberIndex>(this->board.members.size());
+  this->board.members.push_back(std::move(member));
+  this->board.memberByTag.emplace(tag, index);
+  return index;
+}
+
+MemberUpdate
+MembershipController::describe(MemberIndex index) const
+{
+  const Member& member = this->board.members[index];
+  return MemberUpdate{ member.id,       member.zone,  member.address,
+                       member.liveness, member.phase, member.incarnation };
+}
+
+void
+MembershipController::spread(MemberIndex member)
+{
+  this->updatesToSend[member] =
+    internal::retransmissionsFor(this->board.members.size());
+}
+
+std::vector<MemberUpdate>
+MembershipController::takeUpdates(MemberIndex to)
+{
+  std::vector<MemberUpdate> updates;
+  const bool known =
+    to != kNoMember && this->board.members[to].liveness == Liveness::alive;
+  if (!known) {
+    updates.push_back(this->describe(kSelf));
+  }
+  if (to != kNoMember && this->board.members[to].liveness == Liveness::dead) {
+    updates.push_back(this->describe(to));
+  }
+  auto next = this->updatesToSend.begin();
+  while (next != this->updatesToSend.end() &&
+         updates.size() < internal::kMostUpdates) {
+    if (next->first != to) {
+      updates.push_back(this->describe(next->first));
+    }
+    --next->second;
+    next =
+      next->second == 0 ? this->updatesToSend.erase(next) : std::next(next);
+  }
+  return updates;
+}
+
+void
+MembershipController::sendProbe(MemberIndex to,
+                                ProbeKind kind,
+                                std::uint32_t sequence,
+                                MemberTag subject)
+{
+  this->board.send(to, Probe{ kind, sequence, subject, this->takeUpdates(to) });
+}
+
+void
+MembershipController::pingEndpoint(const Endpoint& endpoint)
+{
+  if (endpoint == this->board.self().address) {
+    return;
+  }
+  const Probe probe{
+    ProbeKind::ping, this->nextSequence++, 0, { this->describe(kSelf) }
+  };
+  this->board.outbox.messages.push_back(
+    { endpoint, { this->board.header(), probe } });
+}
+
+void
+MembershipController::learnListed(std::span<const InstanceConfig> instances)
+{
+  for (const InstanceConfig& instance : instances) {
+    MemberUpdate update;
+    update.id = instance.id;
+    update.zone = instance.zone;
+    update.address = instance.peerAddress;
+    const MemberIndex index = this->addMember(update);
+    Member& member = this->board.members[index];
+    if (index != kSelf && member.liveness == Liveness::unknown) {
+      member.address = instance.peerAddress;
+    }
+  }
+}
+
+void
+MembershipController::setLiveness(MemberIndex index,
+                                  Liveness liveness,
+                                  MilliTime now)
+{
+  Member& member = this->board.members[index];
+  if (member.liveness == liveness) {
+    return;
+  }
+  const bool wasReachable = member.reachable();
+  member.liveness = liveness;
+  if (liveness == Liveness::suspect) {
+    member.suspectedAt = now;
+  }
+  if (liveness == Liveness::dead) {
+    member.statesSeen = kNoStatesVersion;
+    member.awaySent = false;
+  }
+  this->ownersChanged =
+    this->ownersChanged || wasReachable != member.reachable();
+  this->spread(index);
+  constexpr const char* kNames[] = { "unknown", "alive", "suspect", "dead" };
+  Event event;
+  event.kind = EventKind::member;
+  event.member = index;
+  event.note = kNames[static_cast<std::size_t>(liveness)];
+  this->board.log(std::move(event));
+}
+
+MemberIndex
+MembershipController::receive(const PeerMessage& message, MilliTime now)
+{
+  const PeerHeader& header = message.header;
+  const auto* probe = std::get_if<Probe>(&message.body);
+  if (probe != nullptr) {
+    for (const MemberUpdate& update : probe->updates) {
+      if (memberTag(update.id) == header.sender) {
+        this->addMember(update);
+      }
+    }
+  }
+  const MemberIndex index = this->board.findMember(header.sender);
+  if (index == kNoMember || index == kSelf) {
+    return kNoMember;
+  }
+  Member& member = this->board.members[index];
+  if (header.incarnation < member.incarnation) {
+    return kNoMember;
+  }
+  const bool givenUp = member.liveness == Liveness::dead &&
+                       header.incarnation == member.incarnation;
+  if (givenUp) {
+    // It must learn that its flows have other owners before it counts again.
+    if (probe == nullptr || probe->kind == ProbeKind::acknowledge) {
+      this->sendProbe(index, ProbeKind::ping, this->nextSequence++);
+    }
+    const bool harmless =
+      probe != nullptr || std::holds_alternative<Relay>(message.body) ||
+      std::holds_alternative<ConfigurationRequest>(message.body);
+    return harmless ? index : kNoMember;
+  }
+  if (header.incarnation > member.incarnation) {
+    member.statesSeen = kNoStatesVersion;
+    member.awaySent = false;
+    member.incarnation = header.incarnation;
+    member.phase = Phase::joining;
+    member.statesVersion = 0;
+  }
+  const bool wasOwner = member.owner();
+  // Datagrams overtake each other; within an incarnation all of these grow.
+  if (header.phase > member.phase) {
+    member.phase = header.phase;
+    this->spread(index);
+  }
+  member.revision = std::max(member.revision, header.revision);
+  member.statesVersion = std::max(member.statesVersion, header.statesVersion);
+  member.lastHeard = now;
+  this->setLiveness(index, Liveness::alive, now);
+  this->ownersChanged = this->ownersChanged || wasOwner != member.owner();
+  if (!this->board.trust.paused) {
+    this->board.trust.peerContact = now;
+  }
+  return index;
+}
+
+void
+MembershipController::onProbe(MemberIndex from,
+                              const Probe& probe,
+                              MilliTime now)
+{
+  for (const MemberUpdate& update : probe.updates) {
+    this->takeUpdate(update, now);
+  }
+  switch (probe.kind) {
+    case ProbeKind::ping:
+      this->sendProbe(from, ProbeKind::acknowledge, probe.sequence);
+      break;
+    case ProbeKind::pingRequest: {
+      const MemberIndex subject = this->board.findMember(probe.subject);
+      if (subject == kNoMember || subject == kSelf) {
+        break;
+      }
+      const std::uint32_t sequence = this->nextSequence++;
+      this->forwarded[sequence] = ForwardedProbe{ from, probe.sequence };
+      this->sendProbe(subject, ProbeKind::ping, sequence);
+      break;
+    }
+    case ProbeKind::acknowledge: {
+      // After a pause, only an answer to a question asked since counts.
+      if (probe.sequence >= this->board.trust.confirmFrom) {
+        this->board.trust.peerContact = now;
+      }
+      this->pending.erase(probe.sequence);
+      const auto found = this->forwarded.find(probe.sequence);
+      if (found != this->forwarded.end()) {
+        const ForwardedProbe request = found->second;
+        this->forwarded.erase(found);
+        this->sendProbe(
+          request.requester, ProbeKind::acknowledge, request.sequence);
+      }
+      break;
+    }
+  }
+}
+
+void
+MembershipController::takeUpdate(const MemberUpdate& update, MilliTime now)
+{
+  const MemberIndex index = this->addMember(update);
+  if (index == kSelf) {
+    this->takeUpdateOfSelf(update, now);
+    return;
+  }
+  Member& member = this->board.members[index];
+  if (update.incarnation < member.incarnation) {
+    return;
+  }
+  const bool newer = update.incarnation > member.incarnation;
+  const bool worse =
+    update.liveness == Liveness::suspect || update.liveness == Liveness::dead;
+  if (newer && !worse) {
+    // Hearsay supplies the address; only the member itself makes it count.
+    member.address = update.address;
+    member.zone = update.zone;
+    return;
+  }
+  const bool applies =
+    worse && member.reachable() && update.liveness > member.liveness;
+  if (!applies) {
+    return;
+  }
+  member.incarnation = update.incarnation;
+  const bool recentlyHeard = now - member.lastHeard < internal::kSuspectAfter;
+  if (update.liveness == Liveness::dead && recentlyHeard) {
+    // It talks to this instance; it is told, and refutes.
+    this->setLiveness(index, Liveness::suspect, now);
+    return;
+  }
+  this->setLiveness(index, update.liveness, now);
+}
+
+void
+MembershipController::takeUpdateOfSelf(const MemberUpdate& update,
+                                       MilliTime now)
+{
+  Member& self = this->board.self();
+  const bool accused =
+    update.liveness == Liveness::suspect || update.liveness == Liveness::dead;
+  if (!accused || update.incarnation < self.incarnation) {
+    return;
+  }
+  self.incarnation = update.incarnation + 1;
+  if (update.liveness == Liveness::dead) {
+    this->processLifecycle(LifecycleEvent::declaredDead, now);
+  }
+  this->announceSelf(now);
+}
+
+void
+MembershipController::requireFreshContact()
+{
+  this->board.trust.confirmFrom = this->nextSequence;
+  this->board.trust.peerContact = MilliTime{ -1 };
+}
+
+bool
+MembershipController::processLifecycle(LifecycleEvent event, MilliTime now)
+{
+  if (!this->lifecycle.process(event)) {
+    return false;
+  }
+  Member& self = this->board.self();
+  const bool wasOwner = self.owner();
+  self.phase = this->lifecycle.phase();
+  this->ownersChanged = this->ownersChanged || wasOwner != self.owner();
+  Event change;
+  change.kind = EventKind::lifecycle;
+  change.member = kSelf;
+  change.note = lifecycleStateName(this->lifecycle.state());
+  this->board.log(std::move(change));
+  this->announceSelf(now);
+  return true;
+}
+
+bool
+MembershipController::takeOwnersChanged()
+{
+  const bool changed = this->ownersChanged;
+  this->ownersChanged = false;
+  return changed;
+}
+
+void
+MembershipController::announceSelf(MilliTime /*now*/)
+{
+  this->spread(kSelf);
+  std::size_t sent = 0;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    if (!this->board.members[i].reachable()) {
+      continue;
+    }
+    this->sendProbe(i, ProbeKind::ping, this->nextSequence++);
+    if (++sent == internal::kMostDirectAnnouncements) {
+      return;
+    }
+  }
+}
+
+void
+MembershipController::tick(MilliTime now)
+{
+  if (now >= this->nextProbeAt) {
+    this->nextProbeAt = now + internal::kProbePeriod;
+    this->probeNext(now);
+  }
+  this->checkPending(now);
+  this->checkSuspects(now);
+  this->noticeRevision(now);
+}
+
+MemberIndex
+MembershipController::nextToProbe()
+{
+  const bool unreachableTurn =
+    ++this->probesSent % internal::kUnreachableProbeEvery == 0;
+  std::vector<MemberIndex> unreachable;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const Member& member = this->board.members[i];
+    if (!member.reachable() && member.phase != Phase::stopped) {
+      unreachable.push_back(i);
+    }
+  }
+  if (!unreachable.empty() &&
+      (unreachableTurn || this->board.trust.peerContact.ms < 0)) {
+    return unreachable[this->board.random.below(unreachable.size())];
+  }
+  if (this->round.empty()) {
+    for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+      if (this->board.members[i].reachable()) {
+        this->round.push_back(i);
+      }
+    }
+  }
+  if (this->round.empty()) {
+    return kNoMember;
+  }
+  const std::size_t pick = this->board.random.below(this->round.size());
+  const MemberIndex member = this->round[pick];
+  this->round[pick] = this->round.back();
+  this->round.pop_back();
+  return member;
+}
+
+void
+MembershipController::probeNext(MilliTime now)
+{
+  const MemberIndex member = this->nextToProbe();
+  if (member == kNoMember) {
+    if (this->board.members.size() == 1) {
+      for (const Endpoint& seed : this->board.settings.seeds) {
+        this->pingEndpoint(seed);
+      }
+    }
+    return;
+  }
+  const std::uint32_t sequence = this->nextSequence++;
+  if (this->board.members[member].reachable()) {
+    this->pending[sequence] = PendingProbe{ member, now, false };
+  }
+  this->sendProbe(member, ProbeKind::ping, sequence);
+}
+
+void
+MembershipController::askOthersToPing(MemberIndex member,
+                                      std::uint32_t sequence)
+{
+  std::vector<MemberIndex> others;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const Member& other = this->board.members[i];
+    if (i != member && other.liveness == Liveness::alive) {
+      others.push_back(i);
+    }
+  }
+  for (unsigned n = 0; n < internal::kIndirectProbes && !others.empty(); ++n) {
+    const std::size_t pick = this->board.random.below(others.size());
+    this->sendProbe(others[pick],
+                    ProbeKind::pingRequest,
+                    sequence,
+                    this->board.members[member].tag);
+    others.erase(others.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
+void
+MembershipController::checkPending(MilliTime now)
+{
+  for (auto next = this->pending.begin(); next != this->pending.end();) {
+    PendingProbe& probe = next->second;
+    const Member& member = this->board.members[probe.member];
+    const MilliDuration waited = now - probe.sentAt;
+    const bool answered = member.lastHeard >= probe.sentAt;
+    if (answered || !member.reachable()) {
+      next = this->pending.erase(next);
+      continue;
+    }
+    if (waited >= internal::kSuspectAfter) {
+      this->setLiveness(probe.member, Liveness::suspect, now);
+      next = this->pending.erase(next);
+      continue;
+    }
+    if (waited >= internal::kIndirectAfter && !probe.indirect) {
+      probe.indirect = true;
+      this->askOthersToPing(probe.member, next->first);
+    }
+    ++next;
+  }
+  constexpr std::size_t kMostForwarded = 256;
+  while (this->forwarded.size() > kMostForwarded) {
+    this->forwarded.erase(this->forwarded.begin());
+  }
+}
+
+void
+MembershipController::checkSuspects(MilliTime now)
+{
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const Member& member = this->board.members[i];
+    if (member.liveness == Liveness::suspect &&
+        now - member.suspectedAt >= internal::kDeadAfter) {
+      this->setLiveness(i, Liveness::dead, now);
+    }
+  }
+}
+
+void
+MembershipController::noticeRevision(MilliTime now)
+{
+  const ViewState& view = this->board.view;
+  if (!view.commitPending || now < this->nextRevisionNoticeAt) {
+    return;
+  }
+  this->nextRevisionNoticeAt = now + internal::kRevisionNoticePeriod;
+  std::size_t sent = 0;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const Member& member = this->board.members[i];
+    if (!member.reachable() || member.revision >= view.revision) {
+      continue;
+    }
+    this->sendProbe(i, ProbeKind::ping, this->nextSequence++);
+    if (++sent == internal::kMostDirectAnnouncements) {
+      return;
+    }
+  }
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Peer/PeerCodec.cpp
@@ -0,0 +1,453 @@
+#include "PeerCodec.h"
+
+#include "generated/peer_types.h"
+
+#include <cstring>
+#include <limits>
+#include <sodium.h>
+#include <thrift/protocol/TCompactProtocol.h>
+#include <thrift/transport/TBufferTransports.h>
+
+namespace buckthornwing {
+namespace internal {
+
+using apache::thrift::protocol::TCompactProtocolT;
+using apache::thrift::transport::TMemoryBuffer;
+
+constexpr std::uint8_t kWireVersion = 1;
+constexpr std::size_t kPrefixBytes = 1 + sizeof(MemberTag) + 8;
+constexpr std::size_t kTagBytes = 16;
+/// \brief Bounds on what a hostile envelope can make the decoder allocate.
+constexpr std::int32_t kMostStringBytes = 64 * 1024;
+constexpr std::int32_t kMostElements = 4096;
+
+std::int32_t
+toSigned(std::uint32_t value)
+{
+  return static_cast<std::int32_t>(value);
+}
+
+std::uint32_t
+toUnsigned(std::int32_t value)
+{
+  return static_cast<std::uint32_t>(value);
+}
+
+std::vector<std::int32_t>
+toSigned(const std::vector<std::uint32_t>& values)
+{
+  return { values.begin(), values.end() };
+}
+
+std::vector<std::uint32_t>
+toUnsigned(const std::vector<std::int32_t>& values)
+{
+  return { values.begin(), values.end() };
+}
+
+/// \brief Reads an enumerator that may not exceed \a last.
+template<typename Enum>
+bool
+readEnum(std::int8_t value, Enum last, Enum& out)
+{
+  if (value < 0 || value > static_cast<std::int8_t>(last)) {
+    return false;
+  }
+  out = static_cast<Enum>(value);
+  return true;
+}
+
+wire::MemberUpdate
+toWire(const MemberUpdate& update)
+{
+  wire::MemberUpdate out;
+  out.id = update.id;
+  out.zone = update.zone;
+  out.address = formatEndpoint(update.address);
+  out.liveness = static_cast<std::int8_t>(update.liveness);
+  out.phase = static_cast<std::int8_t>(update.phase);
+  out.incarnation = toSigned(update.incarnation);
+  return out;
+}
+
+bool
+fromWire(const wire::MemberUpdate& in, MemberUpdate& out)
+{
+  const auto address = parseEndpoint(in.address);
+  if (!address) {
+    return false;
+  }
+  out.id = in.id;
+  out.zone = in.zone;
+  out.address = *address;
+  out.incarnation = toUnsigned(in.incarnation);
+  return readEnum(in.liveness, Liveness::dead, out.liveness) &&
+         readEnum(in.phase, Phase::stopped, out.phase);
+}
+
+/// \brief Writes each kind of body into the Thrift union.
+struct BodyWriter
+{
+  wire::Body& out;
+
+  void operator()(const Probe& body) const
+  {
+    wire::Probe probe;
+    probe.kind = static_cast<std::int8_t>(body.kind);
+    probe.sequence = toSigned(body.sequence);
+    probe.subject = toSigned(body.subject);
+    for (const MemberUpdate& update : body.updates) {
+      probe.updates.push_back(toWire(update));
+    }
+    this->out.__set_probe(probe);
+  }
+
+  void operator()(const Relay& body) const
+  {
+    wire::Relay relay;
+    relay.tried = toSigned(body.tried);
+    relay.packet.assign(body.packet.begin(), body.packet.end());
+    this->out.__set_relay(relay);
+  }
+
+  void operator()(const FlowBatch& body) const
+  {
+    wire::FlowBatch batch;
+    batch.sequence = toSigned(body.sequence);
+    batch.purpose = static_cast<std::int8_t>(body.purpose);
+    batch.serviceTag = toSigned(body.service);
+    batch.targets = toSigned(body.targets);
+    batch.records = body.records;
+    this->out.__set_flowBatch(batch);
+  }
+
+  void operator()(const Acknowledgement& body) const
+  {
+    wire::Acknowledgement acknowledgement;
+    acknowledgement.sequences = toSigned(body.sequences);
+    this->out.__set_acknowledgement(acknowledgement);
+  }
+
+  void operator()(const BucketStates& body) const
+  {
+    wire::BucketStates states;
+    states.version = toSigned(body.version);
+    states.revision = static_cast<std::int64_t>(body.revision);
+    states.part = static_cast<std::int16_t>(body.part);
+    states.parts = static_cast<std::int16_t>(body.parts);
+    for (const ServiceBuckets& service : body.services) {
+      wire::ServiceBuckets buckets;
+      buckets.serviceTag = toSigned(service.service);
+      buckets.buckets = service.buckets;
+      states.services.push_back(buckets);
+    }
+    this->out.__set_bucketStates(states);
+  }
+
+  void operator()(const StatesRequest& /*body*/) const
+  {
+    this->out.__set_statesRequest(wire::StatesRequest{});
+  }
+
+  void operator()(const OwnershipTransfer& body) const
+  {
+    wire::OwnershipTransfer transfer;
+    transfer.sequence = toSigned(body.sequence);
+    transfer.complete = body.complete;
+    transfer.slots = body.slots;
+    this->out.__set_ownershipTransfer(transfer);
+  }
+
+  void operator()(const LoadSummary& body) const
+  {
+    wire::LoadSummary summary;
+    summary.revision = static_cast<std::int64_t>(body.revision);
+    summary.counts = body.counts;
+    summary.serviceCounts = body.serviceCounts;
+    this->out.__set_loadSummary(summary);
+  }
+
+  void operator()(const ConfigurationRequest& body) const
+  {
+    wire::ConfigurationRequest request;
+    request.have = static_cast<std::int64_t>(body.have);
+    request.want = static_cast<std::int64_t>(body.want);
+    request.offset = toSigned(body.offset);
+    this->out.__set_configurationRequest(request);
+  }
+
+  void operator()(const ConfigurationPart& body) const
+  {
+    wire::ConfigurationPart part;
+    part.base = static_cast<std::int64_t>(body.base);
+    part.revision = static_cast<std::int64_t>(body.revision);
+    part.offset = toSigned(body.offset);
+    part.total = toSigned(body.total);
+    part.text = body.text;
+    this->out.__set_configurationPart(part);
+  }
+};
+
+bool
+readProbe(const wire::Probe& in, PeerBody& body)
+{
+  Probe probe;
+  probe.sequence = toUnsigned(in.sequence);
+  probe.subject = toUnsigned(in.subject);
+  for (const wire::MemberUpdate& update : in.updates) {
+    if (!fromWire(update, probe.updates.emplace_back())) {
+      return false;
+    }
+  }
+  const bool good = readEnum(in.kind, ProbeKind::pingRequest, probe.kind);
+  body = std::move(probe);
+  return good;
+}
+
+bool
+readFlowBatch(const wire::FlowBatch& in, PeerBody& body)
+{
+  FlowBatch batch;
+  batch.sequence = toUnsigned(in.sequence);
+  batch.service = toUnsigned(in.serviceTag);
+  batch.targets = toUnsigned(in.targets);
+  batch.records = in.records;
+  const bool good = readEnum(in.purpose, BatchPurpose::withdraw, batch.purpose);
+  body = std::move(batch);
+  return good;
+}
+
+bool
+readBucketStates(const wire::BucketStates& in, PeerBody& body)
+{
+  BucketStates states;
+  states.version = toUnsigned(in.version);
+  states.revision = static_cast<std::uint64_t>(in.revision);
+  states.part = static_cast<std::uint16_t>(in.part);
+  states.parts = static_cast<std::uint16_t>(in.parts);
+  for (const wire::ServiceBuckets& service : in.services) {
+    states.services.push_back(
+      { toUnsigned(service.serviceTag), service.buckets });
+  }
+  body = std::move(states);
+  return in.part >= 0 && in.part < in.parts;
+}
+
+/// \brief Reads whichever member of the union is set.
+bool
+readBody(const wire::Body& in, PeerBody& body)
+{
+  if (in.__isset.probe) {
+    return readProbe(in.probe, body);
+  }
+  if (in.__isset.relay) {
+    const std::string& packet = in.relay.packet;
+    body =
+      Relay{ toUnsigned(in.relay.tried), { packet.begin(), packet.end() } };
+    return true;
+  }
+  if (in.__isset.flowBatch) {
+    return readFlowBatch(in.flowBatch, body);
+  }
+  if (in.__isset.acknowledgement) {
+    body = Acknowledgement{ toUnsigned(in.acknowledgement.sequences) };
+    return true;
+  }
+  if (in.__isset.bucketStates) {
+    return readBucketStates(in.bucketStates, body);
+  }
+  if (in.__isset.statesRequest) {
+    body = StatesRequest{};
+    return true;
+  }
+  if (in.__isset.ownershipTransfer) {
+    body = OwnershipTransfer{ toUnsigned(in.ownershipTransfer.sequence),
+                              in.ownershipTransfer.complete,
+                              in.ownershipTransfer.slots };
+    return true;
+  }
+  if (in.__isset.loadSummary) {
+    body = LoadSummary{ static_cast<std::uint64_t>(in.loadSummary.revision),
+                        in.loadSummary.counts,
+                        in.loadSummary.serviceCounts };
+    return true;
+  }
+  if (in.__isset.configurationRequest) {
+    const wire::ConfigurationRequest& request = in.configurationRequest;
+    body = ConfigurationRequest{ static_cast<std::uint64_t>(request.have),
+                                 static_cast<std::uint64_t>(request.want),
+                                 toUnsigned(request.offset) };
+    return true;
+  }
+  if (in.__isset.configurationPart) {
+    const wire::ConfigurationPart& part = in.configurationPart;
+    body = ConfigurationPart{ static_cast<std::uint64_t>(part.base),
+                              static_cast<std::uint64_t>(part.revision),
+                              toUnsigned(part.offset),
+                              toUnsigned(part.total),
+                              part.text };
+    return true;
+  }
+  return false;
+}
+
+template<typename Integer>
+void
+appendInteger(std::vector<std::uint8_t>& out, Integer value)
+{
+  for (std::size_t i = 0; i < sizeof value; ++i) {
+    out.push_back(static_cast<std::uint8_t>(value >> (8 * i)));
+  }
+}
+
+template<typename Integer>
+Integer
+readInteger(std::span<const std::uint8_t> bytes)
+{
+  Integer value = 0;
+  for (std::size_t i = 0; i < sizeof value; ++i) {
+    value |= static_cast<Integer>(bytes[i]) << (8 * i);
+  }
+  return value;
+}
+
+void
+authenticate(std::span<const std::uint8_t> bytes,
+             const FleetKey& key,
+             std::array<std::uint8_t, kTagBytes>& tag)
+{
+  crypto_generichash(
+    tag.data(), tag.size(), bytes.data(), bytes.size(), key.data(), key.size());
+}
+
+}
+
+FleetKey
+deriveFleetKey(std::string_view secret)
+{
+  FleetKey key{};
+  crypto_generichash(key.data(),
+                     key.size(),
+                     reinterpret_cast<const unsigned char*>(secret.data()),
+                     secret.size(),
+                     nullptr,
+                     0);
+  return key;
+}
+
+std::string_view
+peerFaultName(PeerFault fault)
+{
+  switch (fault) {
+    case PeerFault::none:
+      return "none";
+    case PeerFault::truncated:
+      return "truncated";
+    case PeerFault::oversized:
+      return "oversized";
+    case PeerFault::unknownVersion:
+      return "unknown_version";
+    case PeerFault::notAuthentic:
+      return "not_authentic";
+    case PeerFault::replayed:
+      return "replayed";
+    case PeerFault::malformed:
+      return "malformed";
+  }
+  return "unknown";
+}
+
+std::string
+encodeEnvelope(const PeerMessage& message)
+{
+  wire::Envelope envelope;
+  envelope.header.incarnation = internal::toSigned(message.header.incarnation);
+  envelope.header.phase = static_cast<std::int8_t>(message.header.phase);
+  envelope.header.revision = static_cast<std::int64_t>(message.header.revision);
+  envelope.header.statesVersion =
+    internal::toSigned(message.header.statesVersion);
+  std::visit(internal::BodyWriter{ envelope.body }, message.body);
+  auto buffer = std::make_shared<internal::TMemoryBuffer>();
+  internal::TCompactProtocolT<internal::TMemoryBuffer> protocol(buffer);
+  envelope.write(&protocol);
+  return buffer->getBufferAsString();
+}
+
+bool
+decodeEnvelope(std::span<const std::uint8_t> bytes, PeerMessage& message)
+{
+  // Thrift takes a mutable pointer but only observes it.
+  auto* start = const_cast<std::uint8_t*>(bytes.data());
+  wire::Envelope envelope;
+  try {
+    auto buffer = std::make_shared<internal::TMemoryBuffer>(
+      start, static_cast<std::uint32_t>(bytes.size()));
+    internal::TCompactProtocolT<internal::TMemoryBuffer> protocol(
+      buffer, internal::kMostStringBytes, internal::kMostElements);
+    envelope.read(&protocol);
+  } catch (const std::exception&) {
+    return false;
+  }
+  const wire::Header& header = envelope.header;
+  message.header.incarnation = internal::toUnsigned(header.incarnation);
+  message.header.revision = static_cast<std::uint64_t>(header.revision);
+  message.header.statesVersion = internal::toUnsigned(header.statesVersion);
+  return internal::readEnum(
+           header.phase, Phase::stopped, message.header.phase) &&
+         internal::readBody(envelope.body, message.body);
+}
+
+PeerCodec::PeerCodec(const FleetKey& key, std::uint64_t firstCounter)
+  : key(key)
+  , counter(firstCounter)
+{
+}
+
+std::vector<std::uint8_t>
+PeerCodec::seal(const PeerMessage& message)
+{
+  const std::string envelope = encodeEnvelope(message);
+  std::vector<std::uint8_t> datagram;
+  datagram.reserve(internal::kPrefixBytes + envelope.size() +
+                   internal::kTagBytes);
+  datagram.push_back(internal::kWireVersion);
+  internal::appendInteger(datagram, message.header.sender);
+  internal::appendInteger(datagram, ++this->counter);
+  datagram.insert(datagram.end(), envelope.begin(), envelope.end());
+  std::array<std::uint8_t, internal::kTagBytes> tag{};
+  internal::authenticate(datagram, this->key, tag);
+  datagram.insert(datagram.end(), tag.begin(), tag.end());
+  return datagram;
+}
+
+PeerFault
+PeerCodec::open(std::span<const std::uint8_t> datagram, PeerMessage& message)
+{
+  if (datagram.size() < internal::kPrefixBytes + internal::kTagBytes) {
+    return PeerFault::truncated;
+  }
+  if (datagram.size() > kMostPeerDatagramBytes) {
+    return PeerFault::oversized;
+  }
+  if (datagram[0] != internal::kWireVersion) {
+    return PeerFault::unknownVersion;
+  }
+  const auto body = datagram.first(datagram.size() - internal::kTagBytes);
+  std::array<std::uint8_t, internal::kTagBytes> tag{};
+  internal::authenticate(body, this->key, tag);
+  if (sodium_memcmp(tag.data(), &datagram[body.size()], tag.size()) != 0) {
+    return PeerFault::notAuthentic;
+  }
+  const auto sender = internal::readInteger<MemberTag>(body.subspan(1));
+  const auto sent =
+    internal::readInteger<std::uint64_t>(body.subspan(1 + sizeof(MemberTag)));
+  if (!this->windows[sender].accept(sent)) {
+    return PeerFault::replayed;
+  }
+  message.header.sender = sender;
+  return decodeEnvelope(body.subspan(internal::kPrefixBytes), message)
+           ? PeerFault::none
+           : PeerFault::malformed;
+}
+
+}
