Whole path: entry daemon, stand-ins and a demo on loopback

Cause: nothing ran yet. Change: Asio data path, Beast watch and operators' HTTP, JSON-lines log through log4cxx, stand-ins for platform, backend servers and fabric with callers, demo script.

--- /dev/null
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -0,0 +1,34 @@
+#ifndef BUCKTHORNWING_HTTP_CLIENT_H
+#define BUCKTHORNWING_HTTP_CLIENT_H
+
+#include "../Core/IpAddress.h"
+#include "../Core/MilliTime.h"
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <string>
+
+namespace buckthornwing {
+
+/// \brief What a GET request came to.
+struct HttpResult
+{
+  unsigned status = 0; ///< 0 if there was no answer
+  std::string body;
+  std::string failure; ///< the step and cause if there was no answer
+};
+
+/// \brief Starts a GET request; \a done is called once, later.
+/// \param timeout for the whole exchange
+/// \param mostBytes of the answer's body; a larger one is a failure
+void
+httpGet(boost::asio::io_context& context,
+        const Endpoint& server,
+        const std::string& path,
+        MilliDuration timeout,
+        std::size_t mostBytes,
+        std::function<void(HttpResult)> done);
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Io/JsonLog.cpp
@@ -0,0 +1,128 @@
+#include "JsonLog.h"
+
+#include <boost/json.hpp>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/fileappender.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/patternlayout.h>
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::size_t kMostWaitingLines = 20000;
+
+log4cxx::LoggerPtr
+makeLogger(const std::string& fileName)
+{
+  // The lines are whole JSON objects already.
+  const log4cxx::LayoutPtr layout(
+    new log4cxx::PatternLayout(LOG4CXX_STR("%m%n")));
+  log4cxx::AppenderPtr appender;
+  if (fileName.empty()) {
+    appender.reset(new log4cxx::ConsoleAppender(layout));
+  } else {
+    LOG4CXX_DECODE_CHAR(path, fileName);
+    appender.reset(new log4cxx::FileAppender(layout, path, true));
+  }
+  const log4cxx::LoggerPtr logger =
+    log4cxx::Logger::getLogger(LOG4CXX_STR("buckthornwing"));
+  logger->removeAllAppenders();
+  logger->setAdditivity(false);
+  logger->addAppender(appender);
+  logger->setLevel(log4cxx::Level::getInfo());
+  return logger;
+}
+
+void
+addFlow(const Blackboard& board, const Event& event, boost::json::object& line)
+{
+  const bool hasFlow = event.kind == EventKind::placement ||
+                       event.kind == EventKind::refusal ||
+                       event.kind == EventKind::drop;
+  if (hasFlow) {
+    line["flow"] = formatFlowKey(event.flow);
+  }
+  if (event.service != kNoServiceIndex) {
+    line["service"] = board.services[event.service].config.name;
+  }
+  if (event.target != kNoTargetIndex) {
+    line["target"] = board.targets[event.target].config.id;
+  }
+}
+
+}
+
+JsonLog::JsonLog(const std::string& fileName)
+{
+  const log4cxx::LoggerPtr logger = internal::makeLogger(fileName);
+  this->writer = std::thread([this] { this->run(); });
+}
+
+JsonLog::~JsonLog()
+{
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    this->stopping = true;
+  }
+  this->wake.notify_one();
+  this->writer.join();
+}
+
+void
+JsonLog::write(std::string line)
+{
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    if (this->lines.size() >= internal::kMostWaitingLines) {
+      ++this->lostLines;
+      return;
+    }
+    this->lines.push_back(std::move(line));
+  }
+  this->wake.notify_one();
+}
+
+void
+JsonLog::run()
+{
+  const log4cxx::LoggerPtr logger =
+    log4cxx::Logger::getLogger(LOG4CXX_STR("buckthornwing"));
+  std::unique_lock<std::mutex> lock(this->mutex);
+  while (!this->stopping || !this->lines.empty()) {
+    this->wake.wait(lock,
+                    [this] { return this->stopping || !this->lines.empty(); });
+    std::deque<std::string> batch;
+    batch.swap(this->lines);
+    lock.unlock();
+    for (const std::string& line : batch) {
+      LOG4CXX_INFO(logger, line);
+    }
+    lock.lock();
+  }
+}
+
+std::string
+formatEvent(const Blackboard& board, const Event& event, std::int64_t unixMs)
+{
+  boost::json::object line;
+  line["time_ms"] = unixMs;
+  line["instance"] = board.self().id;
+  line["event"] = eventName(event.kind);
+  internal::addFlow(board, event, line);
+  if (event.member != kNoMember) {
+    line["member"] = board.members[event.member].id;
+  }
+  if (event.reason != Reason::none) {
+    line["reason"] = reasonName(event.reason);
+  }
+  if (event.count != 0) {
+    line["count"] = event.count;
+  }
+  if (!event.note.empty()) {
+    line["note"] = event.note;
+  }
+  line["revision"] = board.view.revision;
+  return boost::json::serialize(line);
+}
+
+}
