--- /dev/null
+++ b/bwctl/StatusCommand.cpp
@@ -0,0 +1,136 @@
+#include "Commands.h"
+
+#include <Io>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+#include <chrono>
+#include <iostream>
+#include <thread>
+
+namespace buckthornwing::bwctl {
+namespace {
+
+namespace json = boost::json;
+
+constexpr MilliDuration kAnswerWithin{ 3000 };
+constexpr std::size_t kMostStatusBytes = 16UL * 1024 * 1024;
+constexpr unsigned kOk = 200;
+
+boost::leaf::result<std::string>
+fetchStatus(const Endpoint& address)
+{
+  boost::asio::io_context context;
+  HttpResult answer;
+  httpGet(context,
+          address,
+          "/status",
+          kAnswerWithin,
+          kMostStatusBytes,
+          [&](HttpResult result) { answer = std::move(result); });
+  context.run();
+  if (answer.status != kOk) {
+    return boost::leaf::new_error(Error{
+      "ask instance",
+      formatEndpoint(address),
+      answer.failure.empty() ? "HTTP status " + std::to_string(answer.status)
+                             : answer.failure });
+  }
+  return answer.body;
+}
+
+void
+printFields(const json::object& status,
+            std::initializer_list<const char*> names)
+{
+  for (const char* name : names) {
+    if (const json::value* value = status.if_contains(name)) {
+      std::cout << name << ": " << json::serialize(*value) << '\n';
+    }
+  }
+}
+
+/// \brief Prints an array of objects, one object a line.
+void
+printRows(const json::object& status, const char* name)
+{
+  const json::value* rows = status.if_contains(name);
+  if (rows == nullptr || !rows->is_array() || rows->get_array().empty()) {
+    return;
+  }
+  std::cout << name << ":\n";
+  for (const json::value& row : rows->get_array()) {
+    std::cout << "  ";
+    if (!row.is_object()) {
+      std::cout << json::serialize(row) << '\n';
+      continue;
+    }
+    for (const auto& field : row.get_object()) {
+      std::cout << field.key() << '=' << json::serialize(field.value()) << ' ';
+    }
+    std::cout << '\n';
+  }
+}
+
+void
+printForPeople(const std::string& body)
+{
+  json::error_code code;
+  const json::value value = json::parse(body, code);
+  if (code || !value.is_object()) {
+    std::cout << body << '\n';
+    return;
+  }
+  const json::object& status = value.get_object();
+  printFields(status,
+              { "id",
+                "zone",
+                "state",
+                "trusted",
+                "revision",
+                "revision_age_ms",
+                "platform_heard_ms_ago",
+                "slots",
+                "flow_entries",
+                "packets",
+                "forwarded",
+                "relayed",
+                "refused",
+                "dropped",
+                "placed",
+                "transport" });
+  printRows(status, "configuration_problems");
+  printRows(status, "peers");
+  printRows(status, "services");
+}
+
+}
+
+boost::leaf::result<int>
+status(const Arguments& arguments)
+{
+  const std::string& text = arguments.positional.front();
+  const auto address = parseEndpoint(text);
+  if (!address) {
+    return boost::leaf::new_error(
+      Error{ "read command line", text, "expected address:port" });
+  }
+  const bool watching = arguments.command == "watch";
+  for (unsigned shown = 0;;) {
+    BOOST_LEAF_AUTO(body, fetchStatus(*address));
+    if (arguments.json) {
+      std::cout << body << '\n';
+    } else {
+      printForPeople(body);
+    }
+    std::cout << std::flush;
+    ++shown;
+    if (!watching || shown == arguments.count) {
+      return kGood;
+    }
+    std::this_thread::sleep_for(std::chrono::seconds(1));
+  }
+}
+
+}
--- /dev/null
+++ b/bwctl/main.cpp
@@ -0,0 +1,92 @@
+/// \file
+/// \brief The operators' client: dispatches to its commands.
+
+#include "Commands.h"
+
+#include <Io>
+
+#include <boost/leaf.hpp>
+#include <iostream>
+
+namespace buckthornwing::bwctl {
+namespace {
+
+constexpr const char* kUsage =
+  R"(bwctl: the operators' client of buckthornwing
+
+  bwctl validate FILE
+      checks a configuration document and prints every problem
+  bwctl select --config FILE --service NAME
+      prints the ids of the targets that a service selects, sorted
+  bwctl diff OLD NEW
+      shows which services gain or lose which targets, and the share of new
+      flows that moves: run it before publishing NEW
+  bwctl explain --config FILE --flow "tcp 198.51.100.7:40001 203.0.113.10:443"
+      prints where a new flow goes by the table, and each step to it
+  bwctl status ADDRESS:PORT
+      shows a running instance, by its operators' address
+  bwctl watch ADDRESS:PORT [--count N]
+      shows it again every second
+
+Each command takes --json for output that programs read.
+Exit status: 0 good, 1 the answer is no, 2 wrong usage or input.
+
+Examples:
+  bwctl validate examples/himalflow/config.json
+  bwctl select --config examples/himalflow/config.json --service booking
+  bwctl diff config.json next.json && cp next.json /published/config.json
+  bwctl status 127.0.0.1:21501 --json
+)";
+
+boost::leaf::result<int>
+dispatch(const Arguments& arguments)
+{
+  const std::string& name = arguments.command;
+  if (name == "validate") {
+    return validate(arguments);
+  }
+  if (name == "select") {
+    return select(arguments);
+  }
+  if (name == "diff") {
+    return diff(arguments);
+  }
+  if (name == "explain") {
+    return explain(arguments);
+  }
+  if (name == "status" || name == "watch") {
+    return status(arguments);
+  }
+  return boost::leaf::new_error(
+    Error{ "read command line", name, "unknown command; see bwctl --help" });
+}
+
+}
+}
+
+int
+main(int argc, char** argv)
+{
+  using namespace buckthornwing;
+  using namespace buckthornwing::bwctl;
+  const bool help = argc > 1 && (std::string(argv[1]) == "--help" ||
+                                 std::string(argv[1]) == "-h" ||
+                                 std::string(argv[1]) == "help");
+  if (argc < 2 || help) {
+    (help ? std::cout : std::cerr) << kUsage;
+    return help ? kGood : kUsageError;
+  }
+  return boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<int> {
+      BOOST_LEAF_AUTO(arguments, parseArguments(argc, argv));
+      return dispatch(arguments);
+    },
+    [](const Error& error) {
+      std::cerr << "bwctl: " << formatError(error) << '\n';
+      return kUsageError;
+    },
+    [] {
+      std::cerr << "bwctl: failed for an unknown reason\n";
+      return kUsageError;
+    });
+}
