make measure: fake network, naive policy, scenarios F0 to F14

Cause: decisions must be judged by figures. Change: a virtual clock with links that delay, lose, double, reorder and partition; worlds of callers, instances of any policy and targets.

--- /dev/null
+++ b/measure/World.h
@@ -0,0 +1,774 @@
+#ifndef BUCKTHORNWING_MEASURE_WORLD_H
+#define BUCKTHORNWING_MEASURE_WORLD_H
+
+#include "Deployment.h"
+#include "FakeNetwork.h"
+#include "Node.h"
+#include "Result.h"
+
+#include <Core>
+#include <Peer>
+
+#include <cmath>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace buckthornwing::measure {
+
+/// \brief What scenarios change besides the published document.
+struct WorldFaults
+{
+  LinkFaults peerLinks;
+  bool platformDown = false;
+  std::string staleText; ///< the platform answers with this if not empty
+  bool allLookUnhealthy = false;
+  std::string liar; ///< this target reports that it is idle
+};
+
+/// \brief A deployment with callers, instances of one policy and targets.
+template<Node Policy>
+class World
+{
+public:
+  World(const Deployment& deployment,
+        std::uint64_t seed,
+        const PolicySettings& policy)
+    : published(initialState(deployment))
+    , net(seed, deployment.betweenZonesMs)
+    , policySettings(policy)
+  {
+    this->noteSelections();
+    for (std::size_t i = 0; i < deployment.instances; ++i) {
+      this->addInstance(i);
+    }
+  }
+
+  PublishedState published;
+  FakeNetwork net;
+  WorldFaults faults;
+  Result result;
+  bool callersRun = false;
+  /// Only this service counts in the result, if not empty.
+  std::string countedService;
+
+  MilliTime now() const { return this->net.now(); }
+
+  /// \brief Starts an instance with a number; a number may start again.
+  void addInstance(std::size_t number)
+  {
+    const InstanceConfig config =
+      describeInstance(this->published.deployment, number);
+    EngineSettings settings;
+    settings.id = config.id;
+    settings.zone = config.zone;
+    settings.peerAddress = config.peerAddress;
+    settings.policy = this->policySettings;
+    const auto incarnation =
+      static_cast<std::uint32_t>(this->now().ms / 1000 + 1);
+    Instance instance;
+    instance.zone = config.zone;
+    instance.node = std::make_unique<Policy>(
+      settings, incarnation, this->net.random.next(), this->now());
+    this->instances.push_back(std::move(instance));
+    const std::size_t index = this->instances.size() - 1;
+    this->instanceAt[config.peerAddress.port] = index;
+    this->tickLater(index, this->net.random.below(kTickPeriod.ms));
+  }
+
+  /// \brief Ends an instance without notice.
+  void kill(std::size_t index) { this->instances[index].alive = false; }
+
+  /// \brief Starts a planned stop; the fabric sends it nothing more soon.
+  void stop(std::size_t index)
+  {
+    constexpr MilliDuration kFabricNotices{ 500 };
+    Instance& instance = this->instances[index];
+    instance.node->requestStop(this->now());
+    this->flush(index);
+    this->net.after(kFabricNotices,
+                    [this, index] { this->instances[index].inFabric = false; });
+    instance.stopping = true;
+  }
+
+  /// \brief Keeps an instance from running for a while.
+  void pause(std::size_t index, MilliDuration span)
+  {
+    this->instances[index].pausedUntil = this->now() + span;
+  }
+
+  /// \brief Publishes the present document under the next revision.
+  void publish()
+  {
+    ++this->published.revision;
+    this->noteSelections();
+    this->publishedAt[this->published.revision] = this->now();
+    this->text = this->published.text();
+  }
+
+  TargetConfig& target(const std::string& id)
+  {
+    for (TargetConfig& config : this->published.targets) {
+      if (config.id == id) {
+        return config;
+      }
+    }
+    throw std::runtime_error("no target " + id);
+  }
+
+  void drain(const std::string& id)
+  {
+    this->target(id).state = TargetState::draining;
+    this->drainedAt[id] = this->now();
+    this->publish();
+  }
+
+  /// \brief Opens the callers' flows over some seconds.
+  void startCallers()
+  {
+    this->callersRun = true;
+    constexpr std::int64_t kRampMs = 10000;
+    for (std::size_t s = 0; s < this->services().size(); ++s) {
+      for (std::size_t i = 0; i < this->services()[s].flows; ++i) {
+        const auto delay = this->net.random.below(kRampMs);
+        this->net.after(MilliDuration{ static_cast<std::int64_t>(delay) },
+                        [this, s] { this->openFlow(s); });
+      }
+    }
+  }
+
+  /// \brief Opens more flows of a service at a steady rate, for a while.
+  void flood(std::size_t service, double perSecond, MilliDuration span)
+  {
+    const auto count = static_cast<std::int64_t>(
+      perSecond * static_cast<double>(span.ms) / 1000);
+    for (std::int64_t i = 0; i < count; ++i) {
+      this->net.after(MilliDuration{ i * span.ms / count },
+                      [this, service] { this->openFlow(service, true); });
+    }
+  }
+
+  /// \brief Runs the world for a time.
+  void run(MilliDuration span) { this->net.runUntil(this->now() + span); }
+
+  /// \brief Starts to count traffic and imbalance.
+  void startMeasuring()
+  {
+    this->measuring = true;
+    this->measuredFrom = this->now();
+    this->result.openFlows = this->openCount;
+    this->sampleImbalance();
+  }
+
+  /// \brief Completes the result.
+  void finish()
+  {
+    const double seconds =
+      static_cast<double>((this->now() - this->measuredFrom).ms) / 1000;
+    const auto instanceSeconds =
+      seconds * static_cast<double>(this->published.deployment.instances);
+    this->result.controlBytesPerSecond =
+      static_cast<double>(this->controlBytes) / instanceSeconds;
+    const auto packets = static_cast<double>(std::max(this->packets, 1UL));
+    this->result.relayShare = static_cast<double>(this->relays) / packets;
+    this->result.crossZoneRelayShare =
+      static_cast<double>(this->crossZoneRelays) / packets;
+    this->result.imbalance =
+      this->imbalanceSamples == 0
+        ? 0
+        : this->imbalanceSum / static_cast<double>(this->imbalanceSamples);
+    this->result.flows = this->flowsCounted;
+  }
+
+  std::size_t instanceCount() const { return this->instances.size(); }
+
+  const Policy& node(std::size_t index) const
+  {
+    return *this->instances[index].node;
+  }
+
+  /// \returns the revision that each running instance has at least.
+  std::uint64_t lowestRevision() const
+  {
+    std::uint64_t lowest = this->published.revision;
+    for (const Instance& instance : this->instances) {
+      if (instance.alive) {
+        lowest = std::min(lowest, instance.node->revision());
+      }
+    }
+    return lowest;
+  }
+
+private:
+  struct Instance
+  {
+    std::string zone;
+    std::unique_ptr<Policy> node;
+    bool alive = true;
+    bool inFabric = false;
+    bool stopping = false;
+    std::uint64_t revisionNoted = 0;
+    MilliTime pausedUntil{};
+  };
+
+  /// \brief A caller's flow, and what targets know of it.
+  struct Flow
+  {
+    FlowKey key;
+    std::size_t service = 0;
+    std::string zone; ///< the caller's side of a partition
+    std::string target;
+    bool opened = false;      ///< a target has it
+    bool established = false; ///< the caller was answered
+    bool counted = true;
+    bool over = false;
+    bool closing = false;
+    bool floods = false;
+    bool excused = false; ///< a partition kept it from its target
+    MilliTime askedAt{};
+    MilliTime closeAt{};
+    MilliDuration wait{};
+    std::uint64_t request = 0; ///< number of the packet that awaits an answer
+    bool answered = true;
+  };
+
+  std::vector<Instance> instances;
+  std::map<std::uint16_t, std::size_t> instanceAt;
+  std::deque<Flow> flows;
+  std::map<std::string, std::set<std::string>> everSelected;
+  std::map<std::string, std::map<std::string, std::int64_t>> openByTarget;
+  std::map<std::string, MilliTime> drainedAt;
+  std::map<std::uint64_t, MilliTime> publishedAt;
+  std::string text = this->published.text();
+  PolicySettings policySettings;
+  std::uint32_t nextCaller = 0;
+  std::uint64_t openCount = 0;
+  std::uint64_t flowsCounted = 0;
+  bool measuring = false;
+  MilliTime measuredFrom{};
+  std::uint64_t packets = 0;
+  std::uint64_t relays = 0;
+  std::uint64_t crossZoneRelays = 0;
+  std::uint64_t controlBytes = 0;
+  double imbalanceSum = 0;
+  std::uint64_t imbalanceSamples = 0;
+
+  const std::vector<ServiceLoad>& services() const
+  {
+    return this->published.deployment.services;
+  }
+
+  const TargetConfig* findTarget(std::string_view id) const
+  {
+    for (const TargetConfig& config : this->published.targets) {
+      if (config.id == id) {
+        return &config;
+      }
+    }
+    return nullptr;
+  }
+
+  void noteSelections()
+  {
+    for (const TargetConfig& config : this->published.targets) {
+      if (config.labels.at("tier") != "spare") {
+        this->everSelected[config.labels.at("app")].insert(config.id);
+      }
+    }
+  }
+
+  // --- instances -------------------------------------------------------
+
+  bool running(const Instance& instance) const
+  {
+    return instance.alive && this->now() >= instance.pausedUntil;
+  }
+
+  void tickLater(std::size_t index, std::uint64_t delayMs)
+  {
+    this->net.after(MilliDuration{ static_cast<std::int64_t>(delayMs) },
+                    [this, index] { this->tick(index); });
+  }
+
+  void tick(std::size_t index)
+  {
+    Instance& instance = this->instances[index];
+    if (!instance.alive) {
+      return;
+    }
+    if (!this->running(instance)) {
+      const auto left = (instance.pausedUntil - this->now()).ms;
+      this->tickLater(index, static_cast<std::uint64_t>(left));
+      return;
+    }
+    this->servePlatform(instance);
+    this->reportLoads(index);
+    instance.node->tick(this->now());
+    this->flush(index);
+    this->noteRevision(instance);
+    if (!instance.stopping && instance.node->revision() > 0) {
+      instance.inFabric = true;
+    }
+    if (instance.stopping && instance.node->readyToStop(this->now())) {
+      instance.node->announceStopped(this->now());
+      this->flush(index);
+      instance.alive = false;
+      return;
+    }
+    this->tickLater(index, kTickPeriod.ms);
+  }
+
+  void servePlatform(Instance& instance)
+  {
+    if (this->faults.platformDown || this->net.cut(instance.zone) ||
+        !instance.node->wantsPlatform(this->now())) {
+      return;
+    }
+    if (!this->faults.staleText.empty()) {
+      instance.node->onConfiguration(this->faults.staleText, this->now());
+      return;
+    }
+    if (instance.node->revision() < this->published.revision) {
+      instance.node->onConfiguration(this->text, this->now());
+    } else {
+      instance.node->onPlatformContact(this->now());
+    }
+  }
+
+  void noteRevision(Instance& instance)
+  {
+    const std::uint64_t revision = instance.node->revision();
+    if (revision == instance.revisionNoted) {
+      return;
+    }
+    instance.revisionNoted = revision;
+    const auto found = this->publishedAt.find(revision);
+    if (found != this->publishedAt.end() && !this->net.cut(instance.zone)) {
+      this->result.configLagMs =
+        std::max(this->result.configLagMs, (this->now() - found->second).ms);
+    }
+  }
+
+  /// \brief Each instance hears of a tenth of the targets in each tick.
+  void reportLoads(std::size_t index)
+  {
+    constexpr std::int64_t kTicksPerRound = 10;
+    Instance& instance = this->instances[index];
+    const auto turn = this->now().ms / kTickPeriod.ms % kTicksPerRound;
+    std::int64_t position = 0;
+    for (const TargetConfig& config : this->published.targets) {
+      if (position++ % kTicksPerRound != turn) {
+        continue;
+      }
+      LoadReport report;
+      report.reachable = this->net.reachable(instance.zone, config.zone);
+      report.healthy = report.reachable && !this->faults.allLookUnhealthy;
+      std::int64_t open = 0;
+      for (auto& [service, byTarget] : this->openByTarget) {
+        const auto found = byTarget.find(config.id);
+        open += found == byTarget.end() ? 0 : found->second;
+      }
+      report.connections =
+        config.id == this->faults.liar ? 0 : static_cast<std::uint32_t>(open);
+      instance.node->onLoadReport(config.id, report, this->now());
+    }
+  }
+
+  void flush(std::size_t index)
+  {
+    Outbox& outbox = this->instances[index].node->outbox();
+    for (OutgoingMessage& outgoing : outbox.messages) {
+      if (this->measuring) {
+        this->controlBytes +=
+          encodeEnvelope(outgoing.message).size() + kSealBytes;
+      }
+      this->sendMessage(index, outgoing);
+    }
+    outbox.clear();
+  }
+
+  /// \brief What PeerCodec::seal() adds to an envelope.
+  static constexpr std::size_t kSealBytes = 29;
+
+  void sendMessage(std::size_t from, OutgoingMessage& outgoing)
+  {
+    const auto found = this->instanceAt.find(outgoing.address.port);
+    if (found == this->instanceAt.end()) {
+      return;
+    }
+    const std::size_t to = found->second;
+    auto message = std::make_shared<PeerMessage>(std::move(outgoing.message));
+    this->net.carry(this->instances[from].zone,
+                    this->instances[to].zone,
+                    this->faults.peerLinks,
+                    [this, to, message] { this->receive(to, message); });
+  }
+
+  void receive(std::size_t index, const std::shared_ptr<PeerMessage>& message)
+  {
+    Instance& instance = this->instances[index];
+    if (!instance.alive) {
+      return;
+    }
+    if (!this->running(instance)) {
+      // It waits in the socket until the process wakes.
+      this->net.after(
+        instance.pausedUntil - this->now(),
+        [this, index, message] { this->receive(index, message); });
+      return;
+    }
+    const auto decision = instance.node->onPeerMessage(*message, this->now());
+    if (decision) {
+      const auto& packet = std::get<Relay>(message->body).packet;
+      this->carryOut(index, *decision, packet);
+    }
+    this->flush(index);
+  }
+
+  // --- packets ---------------------------------------------------------
+
+  std::size_t pickInstance(const Flow& flow)
+  {
+    std::vector<std::size_t> choices;
+    for (std::size_t i = 0; i < this->instances.size(); ++i) {
+      const Instance& instance = this->instances[i];
+      if (instance.alive && instance.inFabric &&
+          this->net.reachable(flow.zone, instance.zone)) {
+        choices.push_back(i);
+      }
+    }
+    return choices.empty() ? this->instances.size()
+                           : choices[this->net.random.below(choices.size())];
+  }
+
+  void sendPacket(std::size_t number)
+  {
+    Flow& flow = this->flows[number];
+    const std::size_t index = this->pickInstance(flow);
+    if (index == this->instances.size()) {
+      return;
+    }
+    const MilliDuration delay{ this->published.deployment.fromCallersMs };
+    this->net.after(
+      delay, [this, number, index] { this->packetAtInstance(number, index); });
+  }
+
+  std::vector<std::uint8_t> packetOf(std::size_t number) const
+  {
+    const Flow& flow = this->flows[number];
+    const TcpFlags flags{ .syn = !flow.established,
+                          .ack = flow.established,
+                          .fin = flow.closing };
+    // The payload tells the target which flow and request this is.
+    std::array<std::uint8_t, 16> payload{};
+    const std::array<std::uint64_t, 2> words{ number, flow.request };
+    std::memcpy(payload.data(), words.data(), payload.size());
+    return buildTcpPacket(flow.key, flags, payload);
+  }
+
+  void packetAtInstance(std::size_t number, std::size_t index)
+  {
+    Instance& instance = this->instances[index];
+    if (!instance.alive) {
+      return;
+    }
+    if (!this->running(instance)) {
+      this->net.after(
+        instance.pausedUntil - this->now(),
+        [this, number, index] { this->packetAtInstance(number, index); });
+      return;
+    }
+    const std::vector<std::uint8_t> packet = this->packetOf(number);
+    NodeDecision decision = instance.node->onPacket(packet, this->now());
+    if (this->measuring) {
+      ++this->packets;
+      this->relays += decision.outcome == Outcome::relay ? 1 : 0;
+    }
+    if (decision.outcome == Outcome::relay) {
+      this->countCrossZone(index, decision.relayed);
+    }
+    this->carryOut(index, std::move(decision), packet);
+    this->flush(index);
+  }
+
+  void countCrossZone(std::size_t index, const OutgoingMessage& relayed)
+  {
+    const auto found = this->instanceAt.find(relayed.address.port);
+    if (this->measuring && found != this->instanceAt.end() &&
+        this->instances[found->second].zone != this->instances[index].zone) {
+      ++this->crossZoneRelays;
+    }
+  }
+
+  static std::array<std::uint64_t, 2> readPayload(PacketBytes packet)
+  {
+    std::array<std::uint64_t, 2> words{};
+    std::memcpy(
+      words.data(), packet.data() + packet.size() - sizeof words, sizeof words);
+    return words;
+  }
+
+  void carryOut(std::size_t index, NodeDecision decision, PacketBytes packet)
+  {
+    Instance& instance = this->instances[index];
+    if (decision.outcome == Outcome::relay) {
+      this->sendMessage(index, decision.relayed);
+      return;
+    }
+    const auto words = readPayload(packet);
+    const std::size_t number = words[0];
+    if (decision.outcome == Outcome::forward) {
+      const TargetConfig* config = this->findTarget(decision.target);
+      if (config == nullptr) {
+        return;
+      }
+      const std::string id(decision.target);
+      const std::uint64_t request = words[1];
+      this->net.carry(
+        instance.zone, config->zone, {}, [this, number, id, request] {
+          this->packetAtTarget(number, id, request);
+        });
+    } else if (decision.outcome == Outcome::refuse) {
+      this->refused(number);
+    }
+  }
+
+  void refused(std::size_t number)
+  {
+    Flow& flow = this->flows[number];
+    if (flow.over) {
+      return;
+    }
+    if (flow.established) {
+      this->breakFlow(flow);
+      return;
+    }
+    if (flow.counted) {
+      ++this->result.refused;
+      this->result.falseRefusals += flow.opened ? 1 : 0;
+    }
+    this->endFlow(flow);
+    this->replaceFlow(flow);
+  }
+
+  // --- targets and callers ---------------------------------------------
+
+  void packetAtTarget(std::size_t number,
+                      const std::string& id,
+                      std::uint64_t request)
+  {
+    Flow& flow = this->flows[number];
+    if (flow.over) {
+      return;
+    }
+    const std::string& service = this->services()[flow.service].name;
+    if (!this->everSelected[service].contains(id)) {
+      ++this->result.misdelivered;
+    }
+    if (!flow.opened) {
+      this->openAtTarget(flow, id);
+    } else if (flow.target != id) {
+      // Another target has the flow: an opening runs a second time, any other
+      // packet is answered with a reset.
+      if (!flow.established) {
+        this->result.ranTwice += flow.counted ? 1 : 0;
+      }
+      this->breakFlow(flow);
+      return;
+    }
+    if (request != flow.request || flow.answered) {
+      return;
+    }
+    const MilliDuration delay{ this->published.deployment.fromCallersMs };
+    this->net.after(delay, [this, number, request] {
+      this->answerAtCaller(number, request);
+    });
+  }
+
+  void openAtTarget(Flow& flow, const std::string& id)
+  {
+    flow.opened = true;
+    flow.target = id;
+    ++this->openByTarget[this->services()[flow.service].name][id];
+    ++this->openCount;
+    constexpr MilliDuration kGrace{ 3000 };
+    const auto drained = this->drainedAt.find(id);
+    const bool late = drained != this->drainedAt.end() &&
+                      this->now() - drained->second > kGrace;
+    this->result.latePlacements += late && flow.counted ? 1 : 0;
+  }
+
+  void answerAtCaller(std::size_t number, std::uint64_t request)
+  {
+    Flow& flow = this->flows[number];
+    if (flow.over || flow.answered || request != flow.request) {
+      return;
+    }
+    flow.answered = true;
+    constexpr MilliDuration kSlow{ 500 };
+    if (!flow.established && this->measuring && flow.counted &&
+        this->now() - flow.askedAt > kSlow) {
+      ++this->result.slowOpenings;
+    }
+    flow.established = true;
+    if (flow.closing) {
+      this->endFlow(flow);
+      this->replaceFlow(flow);
+      return;
+    }
+    const double interval =
+      this->services()[flow.service].packetIntervalSeconds * 1000;
+    const double pause = interval * (0.5 + this->net.random.unit());
+    this->net.after(MilliDuration{ static_cast<std::int64_t>(pause) },
+                    [this, number] { this->ask(number); });
+  }
+
+  void openFlow(std::size_t service, bool floods = false)
+  {
+    const ServiceLoad& load = this->services()[service];
+    const auto& zones = this->published.deployment.zones;
+    Flow flow;
+    flow.service = service;
+    flow.floods = floods;
+    flow.zone = zones[this->net.random.below(zones.size())];
+    const std::uint32_t address = 0x0a000000U + ++this->nextCaller;
+    flow.key.source.address = *parseIpAddress("10.0.0.0");
+    for (unsigned i = 0; i < 4; ++i) {
+      flow.key.source.address.bytes[12 + i] =
+        static_cast<std::uint8_t>(address >> (24U - 8U * i));
+    }
+    flow.key.source.port =
+      static_cast<std::uint16_t>(1024 + this->net.random.below(60000));
+    flow.key.destination = Endpoint{ *parseIpAddress(load.address), 443 };
+    flow.counted =
+      this->countedService.empty() || this->countedService == load.name;
+    const double life =
+      -load.meanLifeSeconds * std::log(1 - this->net.random.unit());
+    flow.closeAt =
+      this->now() + MilliDuration{ static_cast<std::int64_t>(life * 1000) };
+    this->flowsCounted += flow.counted ? 1 : 0;
+    this->flows.push_back(std::move(flow));
+    this->ask(this->flows.size() - 1);
+  }
+
+  void ask(std::size_t number)
+  {
+    constexpr MilliDuration kDataWait{ 300 };
+    constexpr MilliDuration kOpeningWait{ 1000 };
+    Flow& flow = this->flows[number];
+    if (flow.over) {
+      return;
+    }
+    flow.closing = flow.established && this->now() >= flow.closeAt;
+    ++flow.request;
+    flow.answered = false;
+    flow.excused = false;
+    flow.askedAt = this->now();
+    flow.wait = flow.established ? kDataWait : kOpeningWait;
+    this->sendPacket(number);
+    this->checkLater(number);
+  }
+
+  void checkLater(std::size_t number)
+  {
+    const std::uint64_t request = this->flows[number].request;
+    this->net.after(this->flows[number].wait,
+                    [this, number, request] { this->check(number, request); });
+  }
+
+  void check(std::size_t number, std::uint64_t request)
+  {
+    constexpr MilliDuration kBrokenAfter{ 30000 };
+    constexpr std::int64_t kMostWaitMs = 4000;
+    Flow& flow = this->flows[number];
+    if (flow.over || flow.answered || flow.request != request) {
+      return;
+    }
+    const TargetConfig* config = this->findTarget(flow.target);
+    const bool beyond = flow.opened && config != nullptr &&
+                        !this->net.reachable(flow.zone, config->zone);
+    flow.excused = flow.excused || beyond;
+    if (this->now() - flow.askedAt >= kBrokenAfter && !flow.excused) {
+      this->breakFlow(flow);
+      return;
+    }
+    flow.wait.ms = std::min(2 * flow.wait.ms, kMostWaitMs);
+    this->sendPacket(number);
+    this->checkLater(number);
+  }
+
+  void breakFlow(Flow& flow)
+  {
+    if (flow.counted) {
+      ++(flow.excused ? this->result.unreachable : this->result.broken);
+    }
+    this->endFlow(flow);
+    this->replaceFlow(flow);
+  }
+
+  void endFlow(Flow& flow)
+  {
+    flow.over = true;
+    if (flow.opened) {
+      --this->openByTarget[this->services()[flow.service].name][flow.target];
+      --this->openCount;
+    }
+  }
+
+  void replaceFlow(const Flow& flow)
+  {
+    if (flow.floods) {
+      return;
+    }
+    const std::size_t service = flow.service;
+    const auto delay = this->net.random.below(200);
+    this->net.after(MilliDuration{ static_cast<std::int64_t>(delay) },
+                    [this, service] { this->openFlow(service); });
+  }
+
+  // --- figures ---------------------------------------------------------
+
+  double imbalanceOf(const ServiceLoad& load) const
+  {
+    const auto found = this->openByTarget.find(load.name);
+    if (found == this->openByTarget.end()) {
+      return 1;
+    }
+    double most = 0;
+    double sum = 0;
+    double count = 0;
+    for (const TargetConfig& config : this->published.targets) {
+      const bool serving = config.state == TargetState::serving &&
+                           config.labels.at("app") == load.name &&
+                           config.labels.at("tier") != "spare";
+      if (!serving) {
+        continue;
+      }
+      const auto open = found->second.find(config.id);
+      const double flowsOpen =
+        open == found->second.end() ? 0 : static_cast<double>(open->second);
+      most = std::max(most, flowsOpen);
+      sum += flowsOpen;
+      ++count;
+    }
+    return sum == 0 ? 1 : most * count / sum;
+  }
+
+  void sampleImbalance()
+  {
+    double worst = 1;
+    for (const ServiceLoad& load : this->services()) {
+      if (this->countedService.empty() || this->countedService == load.name) {
+        worst = std::max(worst, this->imbalanceOf(load));
+      }
+    }
+    this->imbalanceSum += worst;
+    ++this->imbalanceSamples;
+    this->net.after(MilliDuration{ 1000 }, [this] { this->sampleImbalance(); });
+  }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/measure/main.cpp
@@ -0,0 +1,131 @@
+/// \file
+/// \brief Runs the scenarios and prints one JSON line for each.
+
+#include "Scenarios.h"
+
+#include <future>
+#include <iostream>
+#include <tclap/CmdLine.h>
+#include <thread>
+
+namespace buckthornwing::measure {
+namespace {
+
+/// \brief A policy by name, and how to run a scenario with it.
+struct NamedPolicy
+{
+  std::string name;
+  std::function<Result(const ScenarioName&, const std::string&, std::uint64_t)>
+    run;
+};
+
+template<Node Policy>
+NamedPolicy
+makePolicy(const std::string& name, const PolicySettings& settings)
+{
+  return { name,
+           [name, settings](const ScenarioName& scenario,
+                            const std::string& deployment,
+                            std::uint64_t seed) {
+             return runScenario<Policy>(
+               scenario, deployment, name, seed, settings);
+           } };
+}
+
+/// \returns the policies that were weighed, the present one second.
+std::vector<NamedPolicy>
+allPolicies()
+{
+  PolicySettings relayAll;
+  relayAll.flexibleShareSticky = 1;
+  relayAll.flexibleShareSpread = 1;
+  PolicySettings tableOnly;
+  tableOnly.flexibleShareSticky = 0;
+  tableOnly.flexibleShareSpread = 0;
+  PolicySettings noHints;
+  noHints.hints = false;
+  PolicySettings noBackups;
+  noBackups.backups = false;
+  PolicySettings twoChoices;
+  twoChoices.placementChoices = 2;
+  return { makePolicy<NaiveNode>("naive", {}),
+           makePolicy<EngineNode>("buckthornwing", {}),
+           makePolicy<EngineNode>("relay_all", relayAll),
+           makePolicy<EngineNode>("table_only", tableOnly),
+           makePolicy<EngineNode>("no_hints", noHints),
+           makePolicy<EngineNode>("no_backups", noBackups),
+           makePolicy<EngineNode>("two_choices", twoChoices) };
+}
+
+/// \brief Runs jobs on a few threads and prints their results in order.
+void
+runJobs(std::vector<std::function<Result()>>& jobs)
+{
+  constexpr std::size_t kMostThreads = 8;
+  const std::size_t threads = std::max<std::size_t>(
+    1,
+    std::min<std::size_t>(kMostThreads, std::thread::hardware_concurrency()));
+  std::vector<std::future<Result>> running(jobs.size());
+  for (std::size_t i = 0; i < jobs.size() + threads; ++i) {
+    if (i >= threads) {
+      std::cout << formatResult(running[i - threads].get()) << std::endl;
+    }
+    if (i < jobs.size()) {
+      running[i] = std::async(std::launch::async, jobs[i]);
+    }
+  }
+}
+
+}
+}
+
+int
+main(int argc, char** argv)
+{
+  using namespace buckthornwing::measure;
+  TCLAP::CmdLine command("Measures policies under faults", ' ', "0.1");
+  TCLAP::ValueArg<std::string> scenario(
+    "", "scenario", "such as F4; all if left out", false, "", "NAME", command);
+  TCLAP::ValueArg<std::string> deployment(
+    "", "deployment", "prairie or himalflow", false, "", "NAME", command);
+  TCLAP::ValueArg<std::string> policy("",
+                                      "policy",
+                                      "a policy, or all; naive and "
+                                      "buckthornwing if left out",
+                                      false,
+                                      "",
+                                      "NAME",
+                                      command);
+  TCLAP::ValueArg<std::uint64_t> seed(
+    "", "seed", "of everything random", false, 1, "N", command);
+  command.parse(argc, argv);
+  const std::string wanted = policy.getValue();
+  std::vector<std::function<Result()>> jobs;
+  for (const ScenarioName& name : allScenarios()) {
+    if (!scenario.getValue().empty() && scenario.getValue() != name.scenario) {
+      continue;
+    }
+    for (const std::string place : { "prairie", "himalflow" }) {
+      if (!deployment.getValue().empty() && deployment.getValue() != place) {
+        continue;
+      }
+      for (const NamedPolicy& candidate : allPolicies()) {
+        const bool usual =
+          candidate.name == "naive" || candidate.name == "buckthornwing";
+        const bool chosen =
+          wanted.empty() ? usual : wanted == "all" || wanted == candidate.name;
+        if (chosen) {
+          jobs.emplace_back([candidate, name, place, n = seed.getValue()] {
+            return candidate.run(name, place, n);
+          });
+        }
+      }
+    }
+  }
+  if (jobs.empty()) {
+    std::cerr << "measure: no such scenario, deployment or policy\n";
+    return 2;
+  }
+  runJobs(jobs);
+  return 0;
+}
