Joiners find every listed instance, backups expire and are refreshed, five hops

Cause: joiners went live before they knew all peers and waited for the wrong predecessor; backups of closed flows counted as open after a take-over, so targets looked full and were diverted; a packet could not reach the third owner.

--- a/buckthornwing/src/Board/EngineSettings.h
+++ b/buckthornwing/src/Board/EngineSettings.h
@@ -34,7 +34,7 @@
   /// Instances to contact before any list was read.
   std::vector<Endpoint> seeds;
   /// Control bytes that transfers of flow records may take.
-  double transferBytesPerSecond = 3000;
+  double transferBytesPerSecond = 2500;
   double transferBurstBytes = 24000;
   PolicySettings policy;
 };
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -6,8 +6,9 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Instances that see one packet at most.
-constexpr std::size_t kMostHops = 4;
+/// \brief Instances that see one packet at most: the receiver, the primary,
+/// its predecessor or the second owner, and the third.
+constexpr std::size_t kMostHops = 5;
 /// \brief One packet in so many of a flow that follows the table goes by way
 /// of its owner, which so learns that the flow is alive.
 constexpr std::uint64_t kSampleEvery = 128;
@@ -151,13 +152,17 @@
 {
   const Slot& slot = this->board.slots[request.slot];
   const bool acting = slot.acting();
-  entry.seenSecond = internal::toSecond(request.now);
+  this->care.noteSeen(entry, request.now);
   if (request.packet.kind == PacketKind::closing) {
     const bool ownerHears = !acting && !request.relayed();
     if (ownerHears && this->nextToAsk(request) != kNoMember) {
       return this->askOwners(request);
     }
     this->care.noteClosed(request.flow, entry, request.now);
+  } else if (!acting && !request.relayed() &&
+             this->care.ownerShouldHear(entry, request.now) &&
+             this->nextToAsk(request) != kNoMember) {
+    return this->askOwners(request);
   }
   if (acting && request.relayed()) {
     this->care.noteRelayed(request.flow, entry, request.from);
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -1,5 +1,7 @@
 #include "FlowCare.h"
 
+#include <bit>
+
 namespace buckthornwing {
 namespace internal {
 
@@ -16,11 +18,29 @@
 constexpr std::uint32_t kClosedSeconds = 120;
 /// \brief Flows of this age get a copy in a third zone.
 constexpr std::uint32_t kThirdCopyAfterSeconds = 10;
+/// \brief A backup is sent anew when the flow's age has doubled, and at least
+/// this often; one that is not is forgotten.
+constexpr std::uint32_t kFirstRefreshSeconds = 30;
+constexpr std::uint32_t kMostRefreshSeconds = 120;
+/// \brief A flow of which others were told shows itself to its owner.
+constexpr std::uint32_t kOwnerHearsEverySeconds = 60;
 /// \brief Relayed packets of a flow, through one owner, that earn a hint.
 constexpr std::uint8_t kRelayedForHint = 4;
 /// \brief A slot held for so long has seen each of its open flows.
 constexpr MilliDuration kKnowsAllAfter{ 900000 };
 
+/// \returns how many refreshes a backup has had at an age.
+std::uint32_t
+refreshesAt(std::uint32_t age)
+{
+  if (age < kMostRefreshSeconds) {
+    return static_cast<std::uint32_t>(
+      std::bit_width(age / kFirstRefreshSeconds));
+  }
+  constexpr std::uint32_t kBefore = 3;
+  return kBefore + age / kMostRefreshSeconds;
+}
+
 }
 
 FlowCare::FlowCare(Blackboard& board, RecordSender& sender)
@@ -41,15 +61,56 @@
   const std::uint32_t limit = protocol == Protocol::tcp
                                 ? internal::kTcpIdleSeconds
                                 : internal::kUdpIdleSeconds;
-  if (entry.has(entry_flag::kOwned) || entry.has(entry_flag::kBackup)) {
+  if (entry.has(entry_flag::kOwned)) {
     return idle > limit;
   }
   if (entry.has(entry_flag::kAway)) {
     return idle > internal::kAwayIdleSeconds;
   }
+  if (entry.has(entry_flag::kBackup)) {
+    return idle >
+           internal::kMostRefreshSeconds + internal::kFirstRefreshSeconds;
+  }
   return idle > internal::kHintIdleSeconds;
 }
 
+void
+FlowCare::noteSeen(FlowEntry& entry, MilliTime now) const
+{
+  // A backup's time is that of its last refresh, not of a stray packet.
+  constexpr std::uint8_t kFirstHand =
+    entry_flag::kOwned | entry_flag::kAway | entry_flag::kHint;
+  if ((entry.flags & kFirstHand) != 0) {
+    entry.seenSecond = static_cast<std::uint32_t>(now.ms / 1000);
+  }
+}
+
+bool
+FlowCare::ownerShouldHear(FlowEntry& entry, MilliTime now) const
+{
+  // An entry that others sent has no use for its placement time.
+  const auto second = static_cast<std::uint32_t>(now.ms / 1000);
+  const bool told =
+    !entry.has(entry_flag::kOwned) &&
+    (entry.flags & (entry_flag::kAway | entry_flag::kHint)) != 0;
+  if (!told ||
+      second < entry.placedSecond + internal::kOwnerHearsEverySeconds) {
+    return false;
+  }
+  entry.placedSecond = second;
+  return true;
+}
+
+bool
+FlowCare::backupIsDue(const FlowEntry& entry, std::uint32_t second) const
+{
+  const std::uint32_t age =
+    second > entry.placedSecond ? second - entry.placedSecond : 0;
+  const std::uint32_t passed = second - this->walkedSecond;
+  const std::uint32_t before = age > passed ? age - passed : 0;
+  return internal::refreshesAt(age) != internal::refreshesAt(before);
+}
+
 void
 FlowCare::count(const FlowEntry& entry, const Slot& slot)
 {
@@ -73,6 +134,11 @@
   if (!wanted) {
     return;
   }
+  if (this->backupIsDue(entry, second)) {
+    constexpr std::uint8_t kCopies =
+      entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
+    entry.flags &= static_cast<std::uint8_t>(~kCopies);
+  }
   if (!entry.has(entry_flag::kBackedUp) && slot.owners.second != kSelf) {
     entry.flags |= entry_flag::kBackedUp;
     this->sender.enqueue(slot.owners.second, BatchPurpose::backup, flow);
@@ -126,6 +192,7 @@
     }
     ++next;
   }
+  this->walkedSecond = second;
   this->checkKnowledge(now);
 }
 
--- a/buckthornwing/src/Handover/FlowCare.h
+++ b/buckthornwing/src/Handover/FlowCare.h
@@ -19,6 +19,13 @@
   /// the peer a hint when many did.
   void noteRelayed(FlowId flow, FlowEntry& entry, MemberIndex relayer);
 
+  /// \brief Notes that a packet of the flow passed.
+  void noteSeen(FlowEntry& entry, MilliTime now) const;
+
+  /// \returns whether a flow that this instance was told of should show its
+  /// owner again that it is alive; true once for each period.
+  bool ownerShouldHear(FlowEntry& entry, MilliTime now) const;
+
   /// \brief Notes that the caller closed a flow.
   void noteClosed(FlowId flow, FlowEntry& entry, MilliTime now);
 
@@ -26,6 +33,7 @@
   Blackboard& board;
   RecordSender& sender;
   MilliTime nextWalkAt{};
+  std::uint32_t walkedSecond = 0; ///< of the last walk
 
   bool expired(const FlowEntry& entry, std::uint32_t second) const;
   void count(const FlowEntry& entry, const Slot& slot);
@@ -33,6 +41,7 @@
               FlowEntry& entry,
               const Slot& slot,
               std::uint32_t second);
+  bool backupIsDue(const FlowEntry& entry, std::uint32_t second) const;
   void checkKnowledge(MilliTime now);
 };
 
--- a/buckthornwing/src/Handover/RecordSender.cpp
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -13,10 +13,12 @@
 /// \brief Envelope, header and the acknowledgement of one batch.
 constexpr double kBatchOverheadBytes = 110;
 /// \brief Small batches wait so long for company.
-constexpr MilliDuration kGatherFor{ 500 };
+constexpr MilliDuration kGatherFor{ 1500 };
 constexpr std::size_t kWorthSending = 60;
 constexpr MilliDuration kRepeatAfter{ 500 };
 constexpr unsigned kMostTries = 20;
+/// \brief Hints beyond this are not worth their wait.
+constexpr std::size_t kMostQueuedHints = 2000;
 /// \brief Bounds the work of one tick.
 constexpr unsigned kMostBatchesPerTick = 64;
 
@@ -44,7 +46,11 @@
     return;
   }
   const QueueKey key{ purpose, found->second.service, to };
-  this->queues[key].flows.push_back(flow);
+  Queue& queue = this->queues[key];
+  const bool sparable = purpose == BatchPurpose::hint;
+  if (!sparable || queue.flows.size() < internal::kMostQueuedHints) {
+    queue.flows.push_back(flow);
+  }
 }
 
 void
--- a/buckthornwing/src/Io/DaemonSettings.cpp
+++ b/buckthornwing/src/Io/DaemonSettings.cpp
@@ -61,7 +61,7 @@
   settings.logPlacements =
     reader.choice("log_level", { "placements", "changes" }, 0) == 0;
   settings.engine.transferBytesPerSecond = static_cast<double>(
-    reader.number("transfer_bytes_per_second", 100, kMostTransferBytes, 3000));
+    reader.number("transfer_bytes_per_second", 100, kMostTransferBytes, 2500));
   parseSeeds(reader, settings, problems);
   return settings;
 }
--- a/buckthornwing/src/Load/LoadController.cpp
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -49,6 +49,9 @@
       serviceCounts->size() != this->board.publishedServices.size()) {
     return;
   }
+  if (!this->board.members[from].owner()) {
+    return;
+  }
   Summary& kept = this->summaries[from];
   kept.byTarget.assign(this->board.targets.size(), 0);
   for (std::size_t i = 0; i < counts->size(); ++i) {
@@ -65,7 +68,8 @@
 LoadController::onOwnersChanged()
 {
   std::erase_if(this->summaries, [&](const auto& item) {
-    return !this->board.members[item.first].reachable();
+    // A leaving instance's flows are counted by those that took them over.
+    return !this->board.members[item.first].owner();
   });
   this->sumUp();
 }
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -376,7 +376,10 @@
   this->spread(kSelf);
   std::size_t sent = 0;
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
-    if (!this->board.members[i].reachable()) {
+    const Member& member = this->board.members[i];
+    const bool toFind = this->board.self().phase == Phase::joining &&
+                        member.liveness == Liveness::unknown;
+    if (!member.reachable() && !toFind) {
       continue;
     }
     this->sendProbe(i, ProbeKind::ping, this->nextSequence++);
@@ -386,12 +389,28 @@
   }
 }
 
+/// \brief A joiner looks for every listed instance until it is heard.
+void
+MembershipController::findListed()
+{
+  std::size_t sent = 0;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const bool toFind = this->board.members[i].liveness == Liveness::unknown;
+    if (toFind && ++sent <= internal::kMostDirectAnnouncements) {
+      this->sendProbe(i, ProbeKind::ping, this->nextSequence++);
+    }
+  }
+}
+
 void
 MembershipController::tick(MilliTime now)
 {
   if (now >= this->nextProbeAt) {
     this->nextProbeAt = now + internal::kProbePeriod;
     this->probeNext(now);
+    if (this->board.self().phase == Phase::joining) {
+      this->findListed();
+    }
   }
   this->checkPending(now);
   this->checkSuspects(now);
--- a/buckthornwing/src/Membership/MembershipController.h
+++ b/buckthornwing/src/Membership/MembershipController.h
@@ -90,6 +90,7 @@
                  std::uint32_t sequence,
                  MemberTag subject = 0);
   void pingEndpoint(const Endpoint& endpoint);
+  void findListed();
   void takeUpdate(const MemberUpdate& update, MilliTime now);
   void takeUpdateOfSelf(const MemberUpdate& update, MilliTime now);
   void setLiveness(MemberIndex member, Liveness liveness, MilliTime now);
--- a/buckthornwing/src/Membership/TrustController.cpp
+++ b/buckthornwing/src/Membership/TrustController.cpp
@@ -13,6 +13,8 @@
 constexpr MilliDuration kAloneAfter{ 3000 };
 /// \brief A joiner listens to its peers for so long before it owns flows.
 constexpr MilliDuration kJoinAfter{ 1000 };
+/// \brief It waits so long for every owner's announcement of its buckets.
+constexpr MilliDuration kJoinAtLatest{ 5000 };
 
 }
 
@@ -68,6 +70,16 @@
   return contact.ms >= 0 && now - contact <= internal::kContactFresh;
 }
 
+bool
+TrustController::knowsStates() const
+{
+  const auto& members = this->board.members;
+  return std::all_of(
+    members.begin() + 1, members.end(), [](const Member& member) {
+      return !member.owner() || member.statesSeen == member.statesVersion;
+    });
+}
+
 void
 TrustController::evaluate(MilliTime now)
 {
@@ -96,7 +108,9 @@
   if (this->joiningSince.ms < 0) {
     this->joiningSince = now;
   }
-  if (now - this->joiningSince >= internal::kJoinAfter) {
+  const MilliDuration waited = now - this->joiningSince;
+  const bool ready = waited >= internal::kJoinAfter && this->knowsStates();
+  if (ready || waited >= internal::kJoinAtLatest) {
     this->membership.processLifecycle(LifecycleEvent::confirmed, now);
   }
 }
--- a/buckthornwing/src/Membership/TrustController.h
+++ b/buckthornwing/src/Membership/TrustController.h
@@ -34,6 +34,7 @@
 
   bool alone(MilliTime now) const;
   bool inContact(MilliTime now) const;
+  bool knowsStates() const;
 };
 
 }
--- a/measure/Result.cpp
+++ b/measure/Result.cpp
@@ -30,4 +30,36 @@
   return line.str();
 }
 
+std::string
+formatDetails(const Result& result)
+{
+  constexpr std::array<const char*, std::variant_size_v<PeerBody>> kKinds{
+    "probe",
+    "relay",
+    "flow_batch",
+    "acknowledgement",
+    "bucket_states",
+    "states_request",
+    "transfer",
+    "load_summary",
+    "configuration_request",
+    "configuration_part"
+  };
+  std::ostringstream text;
+  text << "  control bytes:";
+  for (std::size_t i = 0; i < kKinds.size(); ++i) {
+    text << ' ' << kKinds[i] << '=' << result.bytesByKind[i];
+  }
+  for (const bool opening : { true, false }) {
+    text << "\n  drops of " << (opening ? "openings:" : "other packets:");
+    const auto& drops = opening ? result.openingDrops : result.otherDrops;
+    for (std::size_t i = 0; i < drops.size(); ++i) {
+      if (drops[i] != 0) {
+        text << ' ' << reasonName(static_cast<Reason>(i)) << '=' << drops[i];
+      }
+    }
+  }
+  return text.str();
+}
+
 }
--- a/measure/Result.h
+++ b/measure/Result.h
@@ -1,6 +1,9 @@
 #ifndef BUCKTHORNWING_MEASURE_RESULT_H
 #define BUCKTHORNWING_MEASURE_RESULT_H
 
+#include <Board>
+
+#include <array>
 #include <cstdint>
 #include <string>
 
@@ -29,8 +32,19 @@
   double crossZoneRelayShare = 0;
   double controlBytesPerSecond = 0;
   std::int64_t configLagMs = 0;
+  /// \name Not in the line, printed on request
+  /// @{
+  std::array<std::uint64_t, std::variant_size_v<PeerBody>> bytesByKind{};
+  std::array<std::uint64_t, kReasonCount> openingDrops{};
+  std::array<std::uint64_t, kReasonCount> otherDrops{};
+  /// @}
 };
 
+/// \returns control bytes by kind of message, and drops by reason, as text
+/// for people.
+std::string
+formatDetails(const Result& result);
+
 /// \returns the result as one JSON line, the same for the same result.
 std::string
 formatResult(const Result& result);
--- a/measure/main.cpp
+++ b/measure/main.cpp
@@ -59,7 +59,7 @@
 
 /// \brief Runs jobs on a few threads and prints their results in order.
 void
-runJobs(std::vector<std::function<Result()>>& jobs)
+runJobs(std::vector<std::function<Result()>>& jobs, bool details)
 {
   constexpr std::size_t kMostThreads = 8;
   const std::size_t threads = std::max<std::size_t>(
@@ -68,7 +68,11 @@
   std::vector<std::future<Result>> running(jobs.size());
   for (std::size_t i = 0; i < jobs.size() + threads; ++i) {
     if (i >= threads) {
-      std::cout << formatResult(running[i - threads].get()) << std::endl;
+      const Result result = running[i - threads].get();
+      std::cout << formatResult(result) << std::endl;
+      if (details) {
+        std::cerr << formatDetails(result) << std::endl;
+      }
     }
     if (i < jobs.size()) {
       running[i] = std::async(std::launch::async, jobs[i]);
@@ -98,6 +102,12 @@
                                       command);
   TCLAP::ValueArg<std::uint64_t> seed(
     "", "seed", "of everything random", false, 1, "N", command);
+  TCLAP::SwitchArg details("",
+                           "details",
+                           "also print control bytes by kind and drops by "
+                           "reason, to standard error",
+                           command,
+                           false);
   command.parse(argc, argv);
   const std::string wanted = policy.getValue();
   std::vector<std::function<Result()>> jobs;
@@ -126,6 +136,6 @@
     std::cerr << "measure: no such scenario, deployment or policy\n";
     return 2;
   }
-  runJobs(jobs);
+  runJobs(jobs, details.getValue());
   return 0;
 }
