Slots go over one by one, each when none of its records is under way

Cause: flows placed while a hand-over ran were in no batch, so the new owner did not know them; an instance that woke from a pause acted for its slots at once although another had taken them over. Change: count unconfirmed records a slot and transfer it when there are none; a rejoining instance hands over and waits like a joiner.

--- a/buckthornwing/src/Board/Blackboard.h
+++ b/buckthornwing/src/Board/Blackboard.h
@@ -59,7 +59,8 @@
   MilliTime startedAt{ -1 };
   std::uint32_t confirmFrom = 0; ///< first probe that counts after a pause
   bool paused = false;           ///< woke from a pause, not confirmed since
-  bool trusted = false;          ///< may place flows and follow the table
+  bool rejoining = false; ///< peers gave this instance up while it paused
+  bool trusted = false;   ///< may place flows and follow the table
 };
 
 /// \brief Shared state of one engine's controllers.
@@ -132,6 +133,12 @@
     return owner.statesSeen != owner.statesVersion;
   }
 
+  /// \returns the slot of a flow of a service.
+  SlotIndex slotOfFlow(FlowId flow, ServiceIndex service) const
+  {
+    return slotOf(bucketOf(flow, this->services[service].bucketCount()));
+  }
+
   /// \returns how many instances own flows, at least one.
   std::size_t ownerCount() const
   {
--- a/buckthornwing/src/Board/OwnerTable.h
+++ b/buckthornwing/src/Board/OwnerTable.h
@@ -42,7 +42,8 @@
   MilliTime waitUntil{};
   /// This instance still places although another is primary.
   bool lending = false;
-  bool transferSent = false; ///< the hand-over message is on its way
+  /// Records of its flows on their way to the new primary.
+  std::uint32_t unconfirmedHandovers = 0;
   MilliTime heldSince{};
   /// Every open flow of the slot is in the flow table.
   bool knowsAll = false;
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -207,6 +207,7 @@
   entry.placedSecond = internal::toSecond(request.now);
   entry.seenSecond = entry.placedSecond;
   this->board.flows.insert_or_assign(request.flow, entry);
+  this->care.noteOwned(request.flow, request.service);
   Target& target = this->board.targets[placement.target];
   ++target.ownFlows;
   ++target.placedSinceSummary;
@@ -300,7 +301,8 @@
     entry.flags = entry_flag::kOwned;
     entry.placedSecond = internal::toSecond(request.now);
     entry.seenSecond = entry.placedSecond;
-    this->board.flows.emplace(request.flow, entry);
+    this->board.flows.insert_or_assign(request.flow, entry);
+    this->care.noteOwned(request.flow, request.service);
     ++this->board.counters.adopted;
   }
   return this->forward(request, target);
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -213,6 +213,15 @@
   this->sender.enqueue(relayer, BatchPurpose::hint, flow);
 }
 
+void
+FlowCare::noteOwned(FlowId flow, ServiceIndex service)
+{
+  const Slot& slot = this->board.slots[this->board.slotOfFlow(flow, service)];
+  if (slot.lending) {
+    this->sender.enqueue(slot.owners.primary, BatchPurpose::handover, flow);
+  }
+}
+
 void
 FlowCare::noteClosed(FlowId flow, FlowEntry& entry, MilliTime now)
 {
--- a/buckthornwing/src/Handover/FlowCare.h
+++ b/buckthornwing/src/Handover/FlowCare.h
@@ -26,6 +26,10 @@
   /// owner again that it is alive; true once for each period.
   bool ownerShouldHear(FlowEntry& entry, MilliTime now) const;
 
+  /// \brief Notes a new entry of a flow that this instance owns; one of a slot
+  /// that is being handed over follows at once.
+  void noteOwned(FlowId flow, ServiceIndex service);
+
   /// \brief Notes that the caller closed a flow.
   void noteClosed(FlowId flow, FlowEntry& entry, MilliTime now);
 
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -17,18 +17,10 @@
 {
 }
 
-SlotIndex
-OwnershipController::slotOfEntry(FlowId flow, const FlowEntry& entry) const
-{
-  const Service& service = this->board.services[entry.service];
-  return slotOf(bucketOf(flow, service.bucketCount()));
-}
-
 void
 OwnershipController::startLending(Slot& slot)
 {
   slot.lending = true;
-  slot.transferSent = false;
 }
 
 /// \returns whether the slot's flows must be sent to its new primary.
@@ -50,7 +42,7 @@
     return false;
   }
   if (owners.primary == kSelf) {
-    if (slot.lending) {
+    if (slot.lending && !this->board.trust.rejoining) {
       slot.lending = false;
       return false;
     }
@@ -63,7 +55,10 @@
     return false;
   }
   slot.waitingFor = kNoMember;
-  if (acting) {
+  if (this->board.trust.rejoining) {
+    // Another instance places for the slot already.
+    slot.lending = false;
+  } else if (acting) {
     this->startLending(slot);
   }
   // A backup owner also tells the new primary, in case the old one is gone.
@@ -90,6 +85,9 @@
   ++this->board.counters.ownerChanges;
   this->takeOver(gained);
   this->queueHandovers(toSend);
+  if (this->board.trust.rejoining) {
+    this->releaseSlots(std::vector<bool>(kSlotCount, true));
+  }
   Event event;
   event.kind = EventKind::owners;
   event.count = changed;
@@ -103,7 +101,7 @@
   constexpr std::uint8_t kCopies =
     entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
   for (auto& [flow, entry] : this->board.flows) {
-    if (slots[this->slotOfEntry(flow, entry)]) {
+    if (slots[this->board.slotOfFlow(flow, entry.service)]) {
       entry.flags |= entry_flag::kOwned;
       entry.flags &= static_cast<std::uint8_t>(~kCopies);
     }
@@ -116,7 +114,7 @@
   constexpr std::uint8_t kWorthSending =
     entry_flag::kOwned | entry_flag::kBackup;
   for (const auto& [flow, entry] : this->board.flows) {
-    const SlotIndex index = this->slotOfEntry(flow, entry);
+    const SlotIndex index = this->board.slotOfFlow(flow, entry.service);
     if (slots[index] && (entry.flags & kWorthSending) != 0) {
       const MemberIndex primary = this->board.slots[index].owners.primary;
       this->sender.enqueue(primary, BatchPurpose::handover, flow);
@@ -128,9 +126,7 @@
 OwnershipController::tick(MilliTime now)
 {
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
-    if (this->sender.idle(i, BatchPurpose::handover)) {
-      this->finishTransfersTo(i, now);
-    }
+    this->finishTransfersTo(i, now);
   }
   for (Slot& slot : this->board.slots) {
     if (slot.waitingFor != kNoMember && now >= slot.waitUntil) {
@@ -149,7 +145,10 @@
   std::vector<bool> released(kSlotCount);
   for (SlotIndex i = 0; i < kSlotCount; ++i) {
     Slot& slot = this->board.slots[i];
-    if (!slot.lending || slot.owners.primary != member) {
+    // While flows are placed, some record is always on its way to the member;
+    // each slot goes over at a moment when none of its own is.
+    if (!slot.lending || slot.owners.primary != member ||
+        slot.unconfirmedHandovers != 0) {
       continue;
     }
     (slot.knowsAll ? complete : partial).push_back(i);
@@ -181,7 +180,7 @@
 OwnershipController::releaseSlots(const std::vector<bool>& released)
 {
   for (auto& [flow, entry] : this->board.flows) {
-    if (released[this->slotOfEntry(flow, entry)] &&
+    if (released[this->board.slotOfFlow(flow, entry.service)] &&
         entry.has(entry_flag::kOwned)) {
       entry.flags &= static_cast<std::uint8_t>(~entry_flag::kOwned);
       entry.flags |= entry_flag::kBackup;
--- a/buckthornwing/src/Handover/OwnershipController.h
+++ b/buckthornwing/src/Handover/OwnershipController.h
@@ -41,7 +41,6 @@
   void takeOver(const std::vector<bool>& slots);
   void finishTransfersTo(MemberIndex member, MilliTime now);
   void releaseSlots(const std::vector<bool>& released);
-  SlotIndex slotOfEntry(FlowId flow, const FlowEntry& entry) const;
   void takeRecord(const FlowRecord& record,
                   ServiceIndex service,
                   TargetIndex target,
--- a/buckthornwing/src/Handover/RecordSender.cpp
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -51,6 +51,31 @@
   if (!sparable || queue.flows.size() < internal::kMostQueuedHints) {
     queue.flows.push_back(flow);
   }
+  if (purpose == BatchPurpose::handover) {
+    this->noteHandover(flow, found->second.service, 1);
+  }
+}
+
+void
+RecordSender::noteHandover(FlowId flow, ServiceIndex service, int change)
+{
+  Slot& slot = this->board.slots[this->board.slotOfFlow(flow, service)];
+  slot.unconfirmedHandovers += static_cast<std::uint32_t>(change);
+}
+
+/// \brief Ends the wait for an acknowledgement, whether it came or not.
+void
+RecordSender::confirm(const Pending& pending)
+{
+  const auto* batch = std::get_if<FlowBatch>(&pending.body);
+  if (batch == nullptr || batch->purpose != BatchPurpose::handover) {
+    return;
+  }
+  const ServiceIndex service = this->board.serviceByTag.at(batch->service);
+  const auto records = unpackFlowRecords(batch->records);
+  for (const FlowRecord& record : *records) {
+    this->noteHandover(record.flow, service, -1);
+  }
 }
 
 void
@@ -73,7 +98,11 @@
 RecordSender::onAcknowledgement(const Acknowledgement& acknowledgement)
 {
   for (const std::uint32_t sequence : acknowledgement.sequences) {
-    this->pending.erase(sequence);
+    const auto found = this->pending.find(sequence);
+    if (found != this->pending.end()) {
+      this->confirm(found->second);
+      this->pending.erase(found);
+    }
   }
 }
 
@@ -151,7 +180,11 @@
     this->queues.erase(next);
   }
   const MemberIndex to = key.to;
-  if (batch.records.empty() || !this->board.members[to].reachable()) {
+  if (batch.records.empty()) {
+    return true;
+  }
+  if (!this->board.members[to].reachable()) {
+    this->confirm(Pending{ to, std::move(batch), now, 1 });
     return true;
   }
   this->budget.force(static_cast<double>(batch.records.size()) +
@@ -189,6 +222,9 @@
                         found->second.service == service &&
                         this->stillWanted(found->second, batch.purpose);
     if (!wanted) {
+      if (batch.purpose == BatchPurpose::handover) {
+        this->noteHandover(flow, service, -1);
+      }
       queue.flows.pop_front();
       continue;
     }
@@ -244,6 +280,7 @@
     const bool lost = !this->board.members[pending.to].reachable() ||
                       pending.tries >= internal::kMostTries;
     if (lost) {
+      this->confirm(pending);
       next = this->pending.erase(next);
       continue;
     }
--- a/buckthornwing/src/Handover/RecordSender.h
+++ b/buckthornwing/src/Handover/RecordSender.h
@@ -77,6 +77,8 @@
   std::map<MemberIndex, std::vector<std::uint32_t>> acknowledgements;
   std::uint32_t nextSequence = 1;
 
+  void noteHandover(FlowId flow, ServiceIndex service, int change);
+  void confirm(const Pending& pending);
   void pump(MilliTime now);
   bool pumpPurpose(BatchPurpose purpose, MilliTime now);
   bool ready(const QueueKey& key, Queue& queue, MilliTime now) const;
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -331,7 +331,8 @@
   }
   self.incarnation = update.incarnation + 1;
   if (update.liveness == Liveness::dead) {
-    this->processLifecycle(LifecycleEvent::declaredDead, now);
+    this->board.trust.rejoining =
+      this->processLifecycle(LifecycleEvent::declaredDead, now);
   }
   this->announceSelf(now);
 }
@@ -352,6 +353,8 @@
   Member& self = this->board.self();
   const bool wasOwner = self.owner();
   self.phase = this->lifecycle.phase();
+  this->board.trust.rejoining =
+    this->board.trust.rejoining && self.phase == Phase::joining;
   this->ownersChanged = this->ownersChanged || wasOwner != self.owner();
   Event change;
   change.kind = EventKind::lifecycle;
