Healing a partition: ask owners for every bucket until records were exchanged

Cause: when a cut zone came back, the others followed their table for flows that the zone had placed elsewhere meanwhile. Change: a member that was live beyond a partition makes every instance flag all buckets; owners settle them after the other side's hand-over; dead members are probed each period.

--- a/buckthornwing/src/Board/OwnerTable.h
+++ b/buckthornwing/src/Board/OwnerTable.h
@@ -45,9 +45,13 @@
   /// Records of its flows on their way to the new primary.
   std::uint32_t unconfirmedHandovers = 0;
   MilliTime heldSince{};
+  /// After a partition: until then another side may still hand flows over.
+  MilliTime mergeUntil{ -1 };
   /// Every open flow of the slot is in the flow table.
   bool knowsAll = false;
 
+  bool merging() const { return this->mergeUntil.ms >= 0; }
+
   /// \returns whether this instance decides for the slot's new flows.
   bool acting() const
   {
--- a/buckthornwing/src/Engine/Engine.cpp
+++ b/buckthornwing/src/Engine/Engine.cpp
@@ -128,6 +128,7 @@
 void
 Engine::updateOwners(MilliTime now)
 {
+  const bool healed = this->membership.takeHealed();
   if (!this->membership.takeOwnersChanged()) {
     return;
   }
@@ -137,6 +138,10 @@
   }
   this->wasOwner = owner;
   this->ownership.reassign(now);
+  if (healed) {
+    this->ownership.startMerge(now);
+    this->states.flagAll();
+  }
   this->load.onOwnersChanged();
 }
 
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -367,6 +367,17 @@
   this->board.log(std::move(event));
 }
 
+void
+BucketStatesController::flagAll()
+{
+  for (Service& service : this->board.services) {
+    for (std::uint8_t& flags : service.flags) {
+      flags |= bucket_flag::kDiverted;
+    }
+  }
+  this->announce();
+}
+
 void
 BucketStatesController::flagUnknownOwners()
 {
--- a/buckthornwing/src/Handover/BucketStatesController.h
+++ b/buckthornwing/src/Handover/BucketStatesController.h
@@ -40,6 +40,10 @@
   /// \brief Asks for announcements that were missed; settles buckets.
   void tick(MilliTime now);
 
+  /// \brief Flags every bucket: after a partition any of them may have flows
+  /// that the other side placed.
+  void flagAll();
+
   /// \brief Flags the buckets of owners whose announcement is still missing;
   /// called when this instance starts to own flows.
   void flagUnknownOwners();
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -122,6 +122,16 @@
   }
 }
 
+void
+OwnershipController::startMerge(MilliTime now)
+{
+  for (Slot& slot : this->board.slots) {
+    if (slot.acting()) {
+      slot.mergeUntil = now + internal::kTransferWithin;
+    }
+  }
+}
+
 void
 OwnershipController::tick(MilliTime now)
 {
@@ -134,6 +144,10 @@
       slot.heldSince = now;
       slot.knowsAll = false;
     }
+    if (slot.merging() && now >= slot.mergeUntil) {
+      slot.mergeUntil = MilliTime{ -1 };
+      slot.knowsAll = false;
+    }
   }
 }
 
@@ -211,6 +225,7 @@
       slot.waitingFor = kNoMember;
       slot.heldSince = now;
     }
+    slot.mergeUntil = MilliTime{ -1 };
     slot.knowsAll = slot.knowsAll || transfer.complete;
   }
   // Unacknowledged, it comes again when this instance's view has caught up.
--- a/buckthornwing/src/Handover/OwnershipController.h
+++ b/buckthornwing/src/Handover/OwnershipController.h
@@ -25,6 +25,9 @@
 
   void onBatch(MemberIndex from, const FlowBatch& batch, MilliTime now);
 
+  /// \brief Expects records from the other side of a partition that healed.
+  void startMerge(MilliTime now);
+
   /// \brief Sends transfer messages when their records have arrived.
   void tick(MilliTime now);
 
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -17,8 +17,11 @@
 constexpr MilliDuration kDeadAfter{ 1500 };
 /// \brief Instances that are asked to ping one that did not answer.
 constexpr unsigned kIndirectProbes = 2;
-/// \brief One probe in so many goes to a member that is dead or never heard.
+/// \brief One probe in so many goes to a member that was never heard.
 constexpr unsigned kUnreachableProbeEvery = 4;
+/// \brief Dead members pinged in each period, so that a healed partition is
+/// noticed before its packets are misjudged.
+constexpr unsigned kDeadProbes = 4;
 /// \brief Updates that one probe carries at most.
 constexpr std::size_t kMostUpdates = 6;
 /// \brief Instances that are told of a change directly; others by probes.
@@ -227,6 +230,7 @@
     member.statesVersion = 0;
   }
   const bool wasOwner = member.owner();
+  const bool wasDead = member.liveness == Liveness::dead;
   // Datagrams overtake each other; within an incarnation all of these grow.
   if (header.phase > member.phase) {
     member.phase = header.phase;
@@ -237,6 +241,8 @@
   member.lastHeard = now;
   this->setLiveness(index, Liveness::alive, now);
   this->ownersChanged = this->ownersChanged || wasOwner != member.owner();
+  // It was live all along, so flows were placed on its side meanwhile.
+  this->healed = this->healed || (wasDead && member.owner());
   if (!this->board.trust.paused) {
     this->board.trust.peerContact = now;
   }
@@ -365,6 +371,14 @@
   return true;
 }
 
+bool
+MembershipController::takeHealed()
+{
+  const bool noticed = this->healed;
+  this->healed = false;
+  return noticed;
+}
+
 bool
 MembershipController::takeOwnersChanged()
 {
@@ -392,6 +406,23 @@
   }
 }
 
+void
+MembershipController::probeDead()
+{
+  std::vector<MemberIndex> dead;
+  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    const Member& member = this->board.members[i];
+    if (member.liveness == Liveness::dead && member.phase != Phase::stopped) {
+      dead.push_back(i);
+    }
+  }
+  for (unsigned n = 0; n < internal::kDeadProbes && !dead.empty(); ++n) {
+    const std::size_t pick = this->board.random.below(dead.size());
+    this->sendProbe(dead[pick], ProbeKind::ping, this->nextSequence++);
+    dead.erase(dead.begin() + static_cast<std::ptrdiff_t>(pick));
+  }
+}
+
 /// \brief A joiner looks for every listed instance until it is heard.
 void
 MembershipController::findListed()
@@ -411,6 +442,7 @@
   if (now >= this->nextProbeAt) {
     this->nextProbeAt = now + internal::kProbePeriod;
     this->probeNext(now);
+    this->probeDead();
     if (this->board.self().phase == Phase::joining) {
       this->findListed();
     }
@@ -428,7 +460,7 @@
   std::vector<MemberIndex> unreachable;
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
     const Member& member = this->board.members[i];
-    if (!member.reachable() && member.phase != Phase::stopped) {
+    if (member.liveness == Liveness::unknown) {
       unreachable.push_back(i);
     }
   }
--- a/buckthornwing/src/Membership/MembershipController.h
+++ b/buckthornwing/src/Membership/MembershipController.h
@@ -53,6 +53,10 @@
   /// \returns whether the set of owners may have changed since the last call.
   bool takeOwnersChanged();
 
+  /// \returns whether a member came back, since the last call, that had been
+  /// live beyond a partition.
+  bool takeHealed();
+
 private:
   /// \brief A ping that waits for its acknowledgement.
   struct PendingProbe
@@ -80,6 +84,7 @@
   MilliTime nextRevisionNoticeAt{};
   unsigned probesSent = 0;
   bool ownersChanged = true;
+  bool healed = false;
 
   MemberIndex addMember(const MemberUpdate& update);
   MemberUpdate describe(MemberIndex member) const;
@@ -91,6 +96,7 @@
                  MemberTag subject = 0);
   void pingEndpoint(const Endpoint& endpoint);
   void findListed();
+  void probeDead();
   void takeUpdate(const MemberUpdate& update, MilliTime now);
   void takeUpdateOfSelf(const MemberUpdate& update, MilliTime now);
   void setLiveness(MemberIndex member, Liveness liveness, MilliTime now);
--- a/buckthornwing/src/Placement/PlacementController.cpp
+++ b/buckthornwing/src/Placement/PlacementController.cpp
@@ -34,8 +34,8 @@
   Placement placement;
   placement.reason = reason;
   // Another owner may have forwarded the same opening before.
-  placement.refused =
-    slot.knowsAll || now - slot.heldSince >= internal::kRefusableAfter;
+  placement.refused = (slot.knowsAll && !slot.merging()) ||
+                      now - slot.heldSince >= internal::kRefusableAfter;
   return placement;
 }
 
