Settle only after a healed partition's records were merged

Cause: a bucket settled while the other side's records were still expected. Change: merging slots do not settle.

--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -320,7 +320,7 @@
                 });
   return (flags & internal::kMovedAnyhow) != 0 &&
          (flags & bucket_flag::kPending) == 0 && !diverted && slot.acting() &&
-         !slot.lending && slot.knowsAll;
+         !slot.lending && !slot.merging() && slot.knowsAll;
 }
 
 std::size_t
