Backups go to the target's zone; announcements follow the away flows

Cause: a member that came back while an owner shared its away flows got the cleared flags without the flows; copies of flows were not in the zone that can reach their target. Change: states go only to members that have the away flows; one copy of a flow, held in its target's zone.

--- a/buckthornwing/src/Board/FlowTable.h
+++ b/buckthornwing/src/Board/FlowTable.h
@@ -22,10 +22,8 @@
 inline constexpr std::uint8_t kHint = 8;
 /// The caller closed or reset the flow.
 inline constexpr std::uint8_t kClosed = 16;
-/// The backup owner was told.
+/// A backup owner was told.
 inline constexpr std::uint8_t kBackedUp = 32;
-/// The third owner was told.
-inline constexpr std::uint8_t kBackedUpTwice = 64;
 /// Other instances hold hints of the flow.
 inline constexpr std::uint8_t kHinted = 128;
 }
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -82,8 +82,15 @@
 {
   ++this->board.statesVersion;
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
-    if (this->board.members[i].reachable()) {
+    const Member& member = this->board.members[i];
+    if (!member.reachable()) {
+      continue;
+    }
+    // One that came back while the flows were shared has to get them first.
+    if (member.awaySent) {
       this->sendStates(i);
+    } else {
+      this->onStatesRequest(i);
     }
   }
 }
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -16,8 +16,6 @@
 constexpr std::uint32_t kAwayIdleSeconds = 1800;
 /// \brief A closed flow's key is remembered longer than any hint of it.
 constexpr std::uint32_t kClosedSeconds = 120;
-/// \brief Flows of this age get a copy in a third zone.
-constexpr std::uint32_t kThirdCopyAfterSeconds = 10;
 /// \brief A backup is sent anew when the flow's age has doubled, and at least
 /// this often; one that is not is forgotten.
 constexpr std::uint32_t kFirstRefreshSeconds = 30;
@@ -122,6 +120,18 @@
   }
 }
 
+/// \returns the owner that is told of a flow: one in its target's zone, which
+/// then serves the flow also when that zone is cut off.
+MemberIndex
+FlowCare::backupHolder(const FlowEntry& entry, const Slot& slot) const
+{
+  const std::string& zone = this->board.targets[entry.target].config.zone;
+  const MemberIndex third = slot.owners.third;
+  const bool thirdIsNear = third != kNoMember && third != kSelf &&
+                           this->board.members[third].zone == zone;
+  return thirdIsNear ? third : slot.owners.second;
+}
+
 void
 FlowCare::backUp(FlowId flow,
                  FlowEntry& entry,
@@ -135,20 +145,12 @@
     return;
   }
   if (this->backupIsDue(entry, second)) {
-    constexpr std::uint8_t kCopies =
-      entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
-    entry.flags &= static_cast<std::uint8_t>(~kCopies);
+    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kBackedUp);
   }
-  if (!entry.has(entry_flag::kBackedUp) && slot.owners.second != kSelf) {
+  if (!entry.has(entry_flag::kBackedUp)) {
     entry.flags |= entry_flag::kBackedUp;
-    this->sender.enqueue(slot.owners.second, BatchPurpose::backup, flow);
-  }
-  const bool old =
-    second >= entry.placedSecond + internal::kThirdCopyAfterSeconds;
-  if (old && !entry.has(entry_flag::kBackedUpTwice) &&
-      slot.owners.third != kSelf) {
-    entry.flags |= entry_flag::kBackedUpTwice;
-    this->sender.enqueue(slot.owners.third, BatchPurpose::backup, flow);
+    this->sender.enqueue(
+      this->backupHolder(entry, slot), BatchPurpose::backup, flow);
   }
 }
 
--- a/buckthornwing/src/Handover/FlowCare.h
+++ b/buckthornwing/src/Handover/FlowCare.h
@@ -41,6 +41,7 @@
 
   bool expired(const FlowEntry& entry, std::uint32_t second) const;
   void count(const FlowEntry& entry, const Slot& slot);
+  MemberIndex backupHolder(const FlowEntry& entry, const Slot& slot) const;
   void backUp(FlowId flow,
               FlowEntry& entry,
               const Slot& slot,
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -98,12 +98,10 @@
 void
 OwnershipController::takeOver(const std::vector<bool>& slots)
 {
-  constexpr std::uint8_t kCopies =
-    entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
   for (auto& [flow, entry] : this->board.flows) {
     if (slots[this->board.slotOfFlow(flow, entry.service)]) {
       entry.flags |= entry_flag::kOwned;
-      entry.flags &= static_cast<std::uint8_t>(~kCopies);
+      entry.flags &= static_cast<std::uint8_t>(~entry_flag::kBackedUp);
     }
   }
 }
--- a/buckthornwing/src/Handover/RecordSender.cpp
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -13,7 +13,7 @@
 /// \brief Envelope, header and the acknowledgement of one batch.
 constexpr double kBatchOverheadBytes = 110;
 /// \brief Small batches wait so long for company.
-constexpr MilliDuration kGatherFor{ 1500 };
+constexpr MilliDuration kGatherFor{ 1000 };
 constexpr std::size_t kWorthSending = 60;
 constexpr MilliDuration kRepeatAfter{ 500 };
 constexpr unsigned kMostTries = 20;
--- a/measure/World.h
+++ b/measure/World.h
@@ -717,7 +717,6 @@
 
   void breakFlow(Flow& flow)
   {
-    if (std::getenv("TRACE")) std::fprintf(stderr,"broken t=%ld asked=%ld placed? est=%d opened=%d zone=%s target=%s closing=%d key=%s closeAt=%ld\n",long(this->now().ms),long(flow.askedAt.ms),flow.established,flow.opened,flow.zone.c_str(),flow.target.c_str(),flow.closing,formatFlowKey(flow.key).c_str(),long(flow.closeAt.ms));
     if (flow.counted) {
       ++(flow.excused ? this->result.unreachable : this->result.broken);
     }
