--- a/buckthornwing/src/Board/Member.h
+++ b/buckthornwing/src/Board/Member.h
@@ -1,7 +1,6 @@
 #ifndef BUCKTHORNWING_MEMBER_H
 #define BUCKTHORNWING_MEMBER_H
 
-#include "../Core/Hash.h"
 #include "../Core/MilliTime.h"
 #include "../Peer/PeerMessage.h"
 
@@ -20,13 +19,6 @@
 /// \brief Version of BucketStates that no instance ever announces.
 inline constexpr std::uint32_t kNoStatesVersion = 0xffffffff;
 
-/// \returns an instance's tag in messages.
-inline MemberTag
-memberTag(std::string_view id)
-{
-  return static_cast<MemberTag>(hashText(id, 2));
-}
-
 /// \brief An instance as this one sees it.
 struct Member
 {
--- a/buckthornwing/src/Peer/PeerMessage.h
+++ b/buckthornwing/src/Peer/PeerMessage.h
@@ -1,10 +1,12 @@
 #ifndef BUCKTHORNWING_PEER_MESSAGE_H
 #define BUCKTHORNWING_PEER_MESSAGE_H
 
+#include "../Core/Hash.h"
 #include "../Core/IpAddress.h"
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -13,6 +15,13 @@
 /// \brief Hash of an instance's id, which stands for it in messages.
 using MemberTag = std::uint32_t;
 
+/// \returns an instance's tag in messages.
+inline MemberTag
+memberTag(std::string_view id)
+{
+  return static_cast<MemberTag>(hashText(id, 2));
+}
+
 /// \brief Where an instance is in its life, as it says itself.
 enum class Phase : std::uint8_t
 {
--- /dev/null
+++ b/test/config.cpp
@@ -0,0 +1,277 @@
+/// \file
+/// \brief Tests of the Config module.
+
+#include <Config>
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+using namespace buckthornwing;
+
+namespace {
+
+Selector
+selectorOf(const std::string& text)
+{
+  auto parsed = parseSelector(text);
+  cr_assert(std::holds_alternative<Selector>(parsed), "%s", text.c_str());
+  return std::get<Selector>(std::move(parsed));
+}
+
+rc::Gen<std::string>
+anyWord()
+{
+  return rc::gen::element<std::string>("app", "tier", "zone", "gold", "a.b-c");
+}
+
+rc::Gen<SelectorRequirement>
+anyRequirement()
+{
+  return rc::gen::map(
+    rc::gen::tuple(anyWord(),
+                   rc::gen::inRange(0, 4),
+                   rc::gen::nonEmpty(
+                     rc::gen::container<std::vector<std::string>>(anyWord()))),
+    [](const auto& parts) {
+      const auto& [key, op, values] = parts;
+      SelectorRequirement requirement{ key,
+                                       static_cast<SelectorOperator>(op),
+                                       values };
+      if (op >= 2) {
+        requirement.values.clear();
+      }
+      return requirement;
+    });
+}
+
+/// \brief The naive meaning of a requirement, straight from its definition.
+bool
+naiveHolds(const SelectorRequirement& requirement, const Labels& labels)
+{
+  const bool present = labels.contains(requirement.key);
+  const std::set<std::string> values(requirement.values.begin(),
+                                     requirement.values.end());
+  const bool listed = present && values.contains(labels.at(requirement.key));
+  switch (requirement.op) {
+    case SelectorOperator::in:
+      return listed;
+    case SelectorOperator::notIn:
+      return !listed;
+    case SelectorOperator::exists:
+      return present;
+    case SelectorOperator::notExists:
+      return !present;
+  }
+  return false;
+}
+
+std::string
+documentWith(const std::string& services, const std::string& targets)
+{
+  return R"({"revision":1,"hash_seed":"ab","services":[)" + services +
+         R"(],"targets":[)" + targets + "]}";
+}
+
+std::string
+service(const std::string& name,
+        const std::string& address,
+        const std::string& selector)
+{
+  return R"({"name":")" + name + R"(","addresses":[")" + address +
+         R"("],"protocol":"tcp","ports":[443],"selector":")" + selector +
+         R"("})";
+}
+
+std::string
+target(const std::string& id, const std::string& app)
+{
+  return R"({"id":")" + id +
+         R"(","address":"127.0.0.1","tunnel_port":6080,"zone":"z","labels":{"app":")" +
+         app + R"("}})";
+}
+
+bool
+mentions(const Problems& problems, const std::string& path)
+{
+  return std::any_of(
+    problems.begin(), problems.end(), [&](const Problem& problem) {
+      return problem.path == path;
+    });
+}
+
+}
+
+Test(selector, kubernetes_forms)
+{
+  const Labels gold{ { "app", "booking" }, { "tier", "gold" } };
+  const Labels bare{ { "app", "booking" } };
+  cr_assert(matches(selectorOf("app=booking"), gold));
+  cr_assert(matches(selectorOf("app == booking , tier"), gold));
+  cr_assert(matches(selectorOf("tier in (gold,silver)"), gold));
+  cr_assert_not(matches(selectorOf("tier in (gold,silver)"), bare));
+  cr_assert(matches(selectorOf("tier notin (silver)"), bare));
+  cr_assert(matches(selectorOf("tier!=silver"), bare));
+  cr_assert_not(matches(selectorOf("tier!=gold"), gold));
+  cr_assert(matches(selectorOf("!canary"), gold));
+  cr_assert_not(matches(selectorOf("!tier"), gold));
+}
+
+Test(selector, malformed_texts_are_refused)
+{
+  for (const char* text : { "",
+                            "   ",
+                            ",",
+                            "a,",
+                            "a=b,",
+                            "a in",
+                            "a in ()x",
+                            "a in (b",
+                            "=b",
+                            "!",
+                            "a b",
+                            "a!b",
+                            "-a",
+                            "a=b c",
+                            "a in (b,)x" }) {
+    cr_assert(
+      std::holds_alternative<SelectorFault>(parseSelector(text)), "%s", text);
+  }
+}
+
+Test(selector, agrees_with_the_naive_meaning_and_its_own_text)
+{
+  cr_assert(rc::check("differential", [] {
+    Selector selector;
+    selector.requirements = *rc::gen::nonEmpty(
+      rc::gen::container<std::vector<SelectorRequirement>>(anyRequirement()));
+    const auto labels = *rc::gen::container<std::map<std::string, std::string>>(
+      anyWord(), anyWord());
+    const Labels given(labels.begin(), labels.end());
+    const Selector parsed = selectorOf(formatSelector(selector));
+    const bool naive = std::all_of(
+      selector.requirements.begin(),
+      selector.requirements.end(),
+      [&](const auto& requirement) { return naiveHolds(requirement, given); });
+    RC_ASSERT(matches(parsed, given) == naive);
+  }));
+}
+
+Test(configuration, all_problems_are_reported_with_their_paths)
+{
+  const std::string text =
+    R"({"revision":0,"hash_seed":"xyz","services":[{"name":"a","adresses":["1.2.3.4"],
+       "protocol":"icmp","ports":[0],"selector":"app=a"}],"targets":[]})";
+  const Problems fatal = parseConfiguration(text).fatal;
+  for (const char* path : { "$.revision",
+                            "$.hash_seed",
+                            "$.services[0].addresses",
+                            "$.services[0].adresses",
+                            "$.services[0].protocol",
+                            "$.services[0].ports[0]" }) {
+    cr_assert(mentions(fatal, path), "%s", path);
+  }
+  const auto hint =
+    std::find_if(fatal.begin(), fatal.end(), [](const Problem& problem) {
+      return problem.path == "$.services[0].adresses";
+    });
+  cr_assert(hint->expected.find("\"addresses\"") != std::string::npos);
+}
+
+Test(configuration, a_bad_selector_holds_back_its_service_alone)
+{
+  const auto parsed = parseConfiguration(
+    documentWith(service("a", "203.0.113.1", "app=") + "," +
+                   service("b", "203.0.113.2", "app in (") + "," +
+                   service("c", "203.0.113.3", "app=c"),
+                 target("t-1", "c")));
+  cr_assert(parsed.fatal.empty());
+  cr_assert_eq(parsed.perService.size(), 1);
+  cr_assert_str_eq(parsed.perService[0].path.c_str(), "$.services[1].selector");
+  cr_assert(parsed.configuration.services[2].selector.has_value());
+}
+
+Test(configuration, overlaps_and_duplicates_are_fatal)
+{
+  const auto overlap =
+    parseConfiguration(documentWith(service("a", "203.0.113.1", "app=a") + "," +
+                                      service("b", "203.0.113.1", "app=b"),
+                                    ""));
+  cr_assert(mentions(overlap.fatal, "$.services[1].addresses"));
+  const auto duplicate = parseConfiguration(
+    documentWith("", target("t", "a") + "," + target("t", "a")));
+  cr_assert(mentions(duplicate.fatal, "$.targets[1].id"));
+}
+
+Test(configuration, malformed_json_and_large_documents_are_refused)
+{
+  for (const std::string text :
+       { "", "{", "[]", "{} {}", "nonsense", "\xff" }) {
+    cr_assert_not(parseConfiguration(text).fatal.empty(), "%s", text.c_str());
+  }
+  std::string large = documentWith("", target("t", "a"));
+  large.append(kMostDocumentBytes, ' ');
+  cr_assert_not(parseConfiguration(large).fatal.empty());
+}
+
+Test(configuration, any_text_is_survived)
+{
+  cr_assert(rc::check("arbitrary text", [] {
+    const auto text = *rc::gen::arbitrary<std::string>();
+    const ParsedConfiguration parsed = parseConfiguration(text);
+    RC_ASSERT(!parsed.fatal.empty());
+  }));
+}
+
+Test(lookup_table, is_even_and_moves_little)
+{
+  std::vector<std::string> ids;
+  for (int i = 0; i < 14; ++i) {
+    ids.push_back("booking-" + std::to_string(i));
+  }
+  std::vector<std::string_view> all(ids.begin(), ids.end());
+  const auto before = buildLookupTable(all, 4099, 7);
+  std::map<std::uint16_t, int> shares;
+  for (const auto entry : before) {
+    ++shares[entry];
+  }
+  cr_assert_eq(shares.size(), 14);
+  for (const auto& [entry, share] : shares) {
+    cr_assert(share == 292 || share == 293, "%d", share);
+  }
+  const auto after = buildLookupTable(std::span(all).first(13), 4099, 7);
+  int needless = 0;
+  for (std::size_t b = 0; b < before.size(); ++b) {
+    needless += before[b] != 13 && after[b] != before[b] ? 1 : 0;
+  }
+  // Maglev moves some buckets beyond those of the target that left.
+  cr_assert_lt(needless, 4099 / 10);
+}
+
+Test(lookup_table, without_targets_has_none)
+{
+  const auto table = buildLookupTable({}, 4099, 7);
+  cr_assert(std::all_of(
+    table.begin(), table.end(), [](auto entry) { return entry == kNoTarget; }));
+}
+
+Test(diff, names_gains_losses_and_the_share_that_moves)
+{
+  const auto parse = [](const std::string& targets) {
+    auto parsed = parseConfiguration(
+      documentWith(service("a", "203.0.113.1", "app=a"), targets));
+    cr_assert(parsed.fatal.empty());
+    return parsed.configuration;
+  };
+  const auto before = parse(target("t-1", "a") + "," + target("t-2", "a"));
+  const auto after = parse(target("t-1", "a") + "," + target("t-3", "a"));
+  const auto diffs = diffConfigurations(before, after);
+  cr_assert_eq(diffs.size(), 1);
+  cr_assert_str_eq(diffs[0].gained.at(0).c_str(), "t-3");
+  cr_assert_str_eq(diffs[0].lost.at(0).c_str(), "t-2");
+  cr_assert(diffs[0].movedShare >= 0.5 && diffs[0].movedShare < 0.8);
+  cr_assert(diffConfigurations(before, before).empty());
+}
