Owners vouch for settled buckets; joiners and skipped revisions ask until then

Change: announcements name the slots that the sender acts for; a new instance asks for every bucket until its owner vouches; skipping a revision voids what was heard; the last owner states its buckets before it hands a slot over; flows taken over from a backup do not count as load until a packet was seen.

--- a/buckthornwing/src/Board/FlowTable.h
+++ b/buckthornwing/src/Board/FlowTable.h
@@ -24,6 +24,9 @@
 inline constexpr std::uint8_t kClosed = 16;
 /// A backup owner was told.
 inline constexpr std::uint8_t kBackedUp = 32;
+/// Taken over from a backup, and no packet of it was seen since: it may have
+/// ended, so it does not count as load.
+inline constexpr std::uint8_t kUnconfirmed = 64;
 /// Other instances hold hints of the flow.
 inline constexpr std::uint8_t kHinted = 128;
 }
--- a/buckthornwing/src/Board/Service.h
+++ b/buckthornwing/src/Board/Service.h
@@ -29,6 +29,8 @@
 inline constexpr std::uint8_t kMoved = 4;
 /// Its owner places elsewhere, because the table target can't take flows.
 inline constexpr std::uint8_t kDiverted = 8;
+/// This instance is new, and no owner has told it that the bucket is settled.
+inline constexpr std::uint8_t kUnvouched = 16;
 }
 
 /// \brief A target whose buckets this instance diverts.
--- a/buckthornwing/src/Distribution/ConfigurationController.cpp
+++ b/buckthornwing/src/Distribution/ConfigurationController.cpp
@@ -58,6 +58,13 @@
   this->configuration = std::move(parsed.configuration);
   ViewState& view = this->board.view;
   const bool first = view.revision == 0;
+  const bool skips = this->configuration.revision != view.revision + 1;
+  if (skips) {
+    // Owners may have placed flows under the revisions between.
+    for (Member& member : this->board.members) {
+      member.statesSeen = kNoStatesVersion;
+    }
+  }
   view.revision = this->configuration.revision;
   view.hashSeed = this->configuration.hashSeed;
   view.adoptedAt = now;
--- a/buckthornwing/src/Distribution/ServiceUpdate.cpp
+++ b/buckthornwing/src/Distribution/ServiceUpdate.cpp
@@ -212,6 +212,12 @@
   const double share = flexibleShare(board, service);
   if (service.table.empty()) {
     startTable(service, std::move(table), share);
+    if (board.view.revision == 0) {
+      // Peers may have placed flows under earlier revisions.
+      for (std::uint8_t& flags : service.flags) {
+        flags |= bucket_flag::kUnvouched;
+      }
+    }
   } else {
     replaceTable(service, std::move(table), share, now);
   }
--- a/buckthornwing/src/Engine/Engine.cpp
+++ b/buckthornwing/src/Engine/Engine.cpp
@@ -20,8 +20,8 @@
   , configuration(this->board)
   , load(this->board)
   , sender(this->board)
-  , ownership(this->board, this->sender)
   , states(this->board, this->sender)
+  , ownership(this->board, this->sender, this->states)
   , care(this->board, this->sender)
   , placement(this->board, this->load, this->states)
   , forwarding(this->board, this->placement, this->care)
@@ -100,6 +100,7 @@
   this->membership.learnListed(this->configuration.listedInstances());
   this->trust.evaluate(now);
   this->membership.announceSelf(now);
+  this->states.announce();
 }
 
 void
@@ -133,8 +134,8 @@
     return;
   }
   const bool owner = this->board.self().owner();
-  if (owner && !this->wasOwner) {
-    this->states.flagUnknownOwners();
+  if (owner && !this->wasOwner && this->board.ownerCount() == 1) {
+    this->states.vouchForAll();
   }
   this->wasOwner = owner;
   this->ownership.reassign(now);
--- a/buckthornwing/src/Engine/Engine.h
+++ b/buckthornwing/src/Engine/Engine.h
@@ -92,8 +92,8 @@
   ConfigurationController configuration;
   LoadController load;
   RecordSender sender;
-  OwnershipController ownership;
   BucketStatesController states;
+  OwnershipController ownership;
   FlowCare care;
   PlacementController placement;
   ForwardingController forwarding;
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -271,9 +271,10 @@
   }
   // Every flow that this instance placed is in its table. If it has held the
   // slot since before the change, an unknown flow is older than the change.
-  const bool older = (flags & bucket_flag::kFlexible) == 0 &&
-                     (flags & bucket_flag::kDiverted) == 0 &&
-                     slot.heldSince <= service.movedSince;
+  constexpr std::uint8_t kOtherwisePlaced =
+    bucket_flag::kFlexible | bucket_flag::kDiverted | bucket_flag::kUnvouched;
+  const bool older =
+    (flags & kOtherwisePlaced) == 0 && slot.heldSince <= service.movedSince;
   if (older && this->board.trust.trusted) {
     return this->adopt(request, service.baseTarget(request.flow));
   }
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -8,7 +8,8 @@
 namespace internal {
 
 constexpr std::uint8_t kMovedAnyhow =
-  bucket_flag::kPending | bucket_flag::kMoved | bucket_flag::kDiverted;
+  bucket_flag::kPending | bucket_flag::kMoved | bucket_flag::kDiverted |
+  bucket_flag::kUnvouched;
 /// \brief Instances that trust their view have heard within this time.
 constexpr MilliDuration kAnnouncedAfter{ 1200 };
 constexpr MilliDuration kAskPeriod{ 300 };
@@ -40,7 +41,7 @@
     std::vector<std::uint32_t> buckets;
     for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
       const bool flagged = (service.flags[b] & internal::kMovedAnyhow) != 0;
-      if (flagged && this->board.slots[slotOf(b)].owners.primary == kSelf) {
+      if (flagged && this->board.slots[slotOf(b)].acting()) {
         buckets.push_back(b);
       }
     }
@@ -60,6 +61,13 @@
       parts.back().services.push_back(std::move(piece));
     }
   }
+  std::vector<std::uint32_t> slots;
+  for (SlotIndex i = 0; i < kSlotCount; ++i) {
+    if (this->board.slots[i].acting()) {
+      slots.push_back(i);
+    }
+  }
+  parts.front().slots = packAscending(slots);
   for (std::size_t i = 0; i < parts.size(); ++i) {
     parts[i].version = this->board.statesVersion;
     parts[i].revision = this->board.view.revision;
@@ -109,9 +117,21 @@
   Assembly& assembly = this->assemblies[from];
   if (assembly.version != states.version ||
       assembly.have.size() != states.parts) {
-    assembly = Assembly{ states.version, std::vector<bool>(states.parts), {} };
+    assembly = Assembly{ states.version,
+                         std::vector<bool>(states.parts),
+                         {},
+                         std::vector<bool>(kSlotCount) };
   }
   assembly.have[states.part] = true;
+  const auto slots = unpackAscending(states.slots);
+  if (!slots) {
+    return;
+  }
+  for (const std::uint32_t slot : *slots) {
+    if (slot < kSlotCount) {
+      assembly.slots[slot] = true;
+    }
+  }
   for (const ServiceBuckets& piece : states.services) {
     const auto service = this->board.serviceByTag.find(piece.service);
     const auto buckets = unpackAscending(piece.buckets);
@@ -150,7 +170,8 @@
         flags |= bucket_flag::kDiverted;
       }
       // Only the owner may clear, and a doubt about who that is keeps flags.
-      if (!flagged[b] && slot.owners.primary == from) {
+      const bool owner = slot.owners.primary == from || slot.waitingFor == from;
+      if (!flagged[b] && owner && assembly.slots[slotOf(b)]) {
         internal::clearFlags(flags, internal::kMovedAnyhow);
       }
     }
@@ -193,14 +214,40 @@
   });
 }
 
+/// \returns the owners of buckets that nobody has vouched for yet.
+std::vector<bool>
+BucketStatesController::unvouchedOwners()
+{
+  std::vector<bool> owners(this->board.members.size());
+  bool any = false;
+  for (const Service& service : this->board.services) {
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      const MemberIndex primary = this->board.slots[slotOf(b)].owners.primary;
+      const bool unvouched = (service.flags[b] & bucket_flag::kUnvouched) != 0;
+      any = any || unvouched;
+      if (unvouched && primary != kNoMember) {
+        owners[primary] = true;
+      }
+    }
+  }
+  this->anyUnvouched = any;
+  return owners;
+}
+
 void
 BucketStatesController::askForMissing(MilliTime now)
 {
+  std::vector<bool> unvouched(this->board.members.size());
+  if (this->anyUnvouched && now >= this->nextUnvouchedAt) {
+    this->nextUnvouchedAt = now + internal::kSettlePeriod;
+    unvouched = this->unvouchedOwners();
+  }
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
     Member& member = this->board.members[i];
-    const bool missing = member.reachable() &&
-                         member.statesSeen != member.statesVersion &&
-                         member.revision == this->board.view.revision;
+    const bool missing =
+      member.reachable() &&
+      (member.statesSeen != member.statesVersion || unvouched[i]) &&
+      member.revision == this->board.view.revision;
     const bool due = member.statesAskedAt.ms < 0 ||
                      now - member.statesAskedAt >= internal::kAskPeriod;
     if (missing && due) {
@@ -386,15 +433,14 @@
 }
 
 void
-BucketStatesController::flagUnknownOwners()
+BucketStatesController::vouchForAll()
 {
   for (Service& service : this->board.services) {
-    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
-      if (this->board.mustAsk(service, b)) {
-        service.flags[b] |= bucket_flag::kDiverted;
-      }
+    for (std::uint8_t& flags : service.flags) {
+      internal::clearFlags(flags, bucket_flag::kUnvouched);
     }
   }
+  this->announce();
 }
 
 }
--- a/buckthornwing/src/Handover/BucketStatesController.h
+++ b/buckthornwing/src/Handover/BucketStatesController.h
@@ -44,9 +44,15 @@
   /// that the other side placed.
   void flagAll();
 
-  /// \brief Flags the buckets of owners whose announcement is still missing;
-  /// called when this instance starts to own flows.
-  void flagUnknownOwners();
+  /// \brief Trusts the table of a fleet that has no flows yet; called when
+  /// this instance is the first to own any.
+  void vouchForAll();
+
+  /// \brief Tells every instance the state of this one's buckets.
+  void announce();
+
+  /// \brief Tells one instance, for example before a slot goes over to it.
+  void sendStates(MemberIndex to);
 
 private:
   /// \brief Parts of one announcement.
@@ -55,6 +61,7 @@
     std::uint32_t version = 0;
     std::vector<bool> have;
     std::map<ServiceIndex, std::vector<std::uint32_t>> flagged;
+    std::vector<bool> slots = std::vector<bool>(kSlotCount);
   };
 
   Blackboard& board;
@@ -62,11 +69,12 @@
   std::map<MemberIndex, Assembly> assemblies;
   std::vector<MemberIndex> requests; ///< members that wait for an answer
   MilliTime nextSettleAt{};
+  MilliTime nextUnvouchedAt{};
+  bool anyUnvouched = true;
 
-  void announce();
-  void sendStates(MemberIndex to);
   std::vector<BucketStates> buildStates() const;
   void applyStates(MemberIndex from, const Assembly& assembly);
+  std::vector<bool> unvouchedOwners();
   void askForMissing(MilliTime now);
   void answerRequests();
   void settle(MilliTime now);
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -80,6 +80,7 @@
     entry_flag::kOwned | entry_flag::kAway | entry_flag::kHint;
   if ((entry.flags & kFirstHand) != 0) {
     entry.seenSecond = static_cast<std::uint32_t>(now.ms / 1000);
+    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kUnconfirmed);
   }
 }
 
@@ -112,8 +113,10 @@
 void
 FlowCare::count(const FlowEntry& entry, const Slot& slot)
 {
+  constexpr std::uint8_t kNotOpen =
+    entry_flag::kClosed | entry_flag::kUnconfirmed;
   const bool counts = slot.acting() && entry.has(entry_flag::kOwned) &&
-                      !entry.has(entry_flag::kClosed);
+                      (entry.flags & kNotOpen) == 0;
   if (counts) {
     ++this->board.targets[entry.target].ownFlows;
     ++this->board.services[entry.service].ownFlows;
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -11,9 +11,11 @@
 }
 
 OwnershipController::OwnershipController(Blackboard& board,
-                                         RecordSender& sender)
+                                         RecordSender& sender,
+                                         BucketStatesController& states)
   : board(board)
   , sender(sender)
+  , states(states)
 {
 }
 
@@ -71,18 +73,22 @@
   const std::vector<SlotOwners> owners = computeOwners(this->board.members);
   std::vector<bool> toSend(kSlotCount);
   std::vector<bool> gained(kSlotCount);
+  std::vector<MemberIndex> predecessors(kSlotCount, kNoMember);
   std::size_t changed = 0;
   for (SlotIndex i = 0; i < kSlotCount; ++i) {
     Slot& slot = this->board.slots[i];
     const bool wasPrimary = slot.owners.primary == kSelf;
+    predecessors[i] = wasPrimary ? kNoMember : slot.owners.primary;
     changed += slot.owners.primary == owners[i].primary ? 0 : 1;
     toSend[i] = this->updateSlot(slot, owners[i], now);
     gained[i] = !wasPrimary && slot.owners.primary == kSelf;
+    predecessors[i] = gained[i] ? predecessors[i] : kNoMember;
   }
   if (changed == 0) {
     return;
   }
   ++this->board.counters.ownerChanges;
+  this->flagUnlessInSync(predecessors);
   this->takeOver(gained);
   this->queueHandovers(toSend);
   if (this->board.trust.rejoining) {
@@ -94,12 +100,34 @@
   this->board.log(std::move(event));
 }
 
+/// \brief A slot's last owner may have announced what did not arrive here.
+void
+OwnershipController::flagUnlessInSync(
+  const std::vector<MemberIndex>& predecessors)
+{
+  for (Service& service : this->board.services) {
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      const MemberIndex before = predecessors[slotOf(b)];
+      if (before == kNoMember) {
+        continue;
+      }
+      const Member& member = this->board.members[before];
+      if (member.statesSeen != member.statesVersion) {
+        service.flags[b] |= bucket_flag::kDiverted;
+      }
+    }
+  }
+}
+
 /// \brief What this instance kept for others becomes its own.
 void
 OwnershipController::takeOver(const std::vector<bool>& slots)
 {
   for (auto& [flow, entry] : this->board.flows) {
     if (slots[this->board.slotOfFlow(flow, entry.service)]) {
+      if (!entry.has(entry_flag::kOwned)) {
+        entry.flags |= entry_flag::kUnconfirmed;
+      }
       entry.flags |= entry_flag::kOwned;
       entry.flags &= static_cast<std::uint8_t>(~entry_flag::kBackedUp);
     }
@@ -115,7 +143,12 @@
     const SlotIndex index = this->board.slotOfFlow(flow, entry.service);
     if (slots[index] && (entry.flags & kWorthSending) != 0) {
       const MemberIndex primary = this->board.slots[index].owners.primary;
-      this->sender.enqueue(primary, BatchPurpose::handover, flow);
+      const bool confirmed =
+        entry.has(entry_flag::kOwned) && !entry.has(entry_flag::kUnconfirmed);
+      this->sender.enqueue(primary,
+                           confirmed ? BatchPurpose::handover
+                                     : BatchPurpose::handoverUnconfirmed,
+                           flow);
     }
   }
 }
@@ -164,10 +197,19 @@
       continue;
     }
     (slot.knowsAll ? complete : partial).push_back(i);
-    slot.lending = false;
-    slot.knowsAll = false;
     released[i] = true;
   }
+  if (complete.empty() && partial.empty()) {
+    return;
+  }
+  // The last word on these buckets, while they are still this instance's.
+  this->states.sendStates(member);
+  for (SlotIndex i = 0; i < kSlotCount; ++i) {
+    if (released[i]) {
+      this->board.slots[i].lending = false;
+      this->board.slots[i].knowsAll = false;
+    }
+  }
   for (const bool isComplete : { true, false }) {
     const auto& slots = isComplete ? complete : partial;
     if (slots.empty()) {
@@ -182,9 +224,7 @@
     event.note = isComplete ? "complete" : "partial";
     this->board.log(std::move(event));
   }
-  if (!complete.empty() || !partial.empty()) {
-    this->releaseSlots(released);
-  }
+  this->releaseSlots(released);
 }
 
 /// \brief Keeps the records of released slots as backups.
@@ -288,6 +328,9 @@
     case BatchPurpose::handover:
       arrived.flags = entry_flag::kOwned;
       break;
+    case BatchPurpose::handoverUnconfirmed:
+      arrived.flags = entry_flag::kOwned | entry_flag::kUnconfirmed;
+      break;
     case BatchPurpose::backup:
       arrived.flags = entry_flag::kBackup;
       break;
@@ -312,11 +355,18 @@
     const bool olderHere = entry.placedSecond < arrived.placedSecond;
     const bool sameAge = entry.placedSecond == arrived.placedSecond;
     const bool lowerHere = targets[entry.target].tag < targets[target].tag;
-    if (olderHere || (sameAge && lowerHere) ||
-        purpose != BatchPurpose::handover) {
+    const bool handsOver = purpose == BatchPurpose::handover ||
+                           purpose == BatchPurpose::handoverUnconfirmed;
+    if (olderHere || (sameAge && lowerHere) || !handsOver) {
       return;
     }
   }
+  if (purpose == BatchPurpose::handover) {
+    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kUnconfirmed);
+  } else if (owned && purpose == BatchPurpose::handoverUnconfirmed) {
+    // What this instance knows of the flow is better.
+    return;
+  }
   entry.target = target;
   entry.service = service;
   entry.placedSecond = std::min(entry.placedSecond, arrived.placedSecond);
--- a/buckthornwing/src/Handover/OwnershipController.h
+++ b/buckthornwing/src/Handover/OwnershipController.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_OWNERSHIP_CONTROLLER_H
 
 #include "../Board/Blackboard.h"
+#include "BucketStatesController.h"
 #include "RecordSender.h"
 
 namespace buckthornwing {
@@ -14,7 +15,9 @@
 class OwnershipController
 {
 public:
-  OwnershipController(Blackboard& board, RecordSender& sender);
+  OwnershipController(Blackboard& board,
+                      RecordSender& sender,
+                      BucketStatesController& states);
 
   /// \brief Computes the owners anew after the set of members changed.
   void reassign(MilliTime now);
@@ -37,9 +40,11 @@
 private:
   Blackboard& board;
   RecordSender& sender;
+  BucketStatesController& states;
 
   bool updateSlot(Slot& slot, const SlotOwners& owners, MilliTime now);
   void startLending(Slot& slot);
+  void flagUnlessInSync(const std::vector<MemberIndex>& predecessors);
   void queueHandovers(const std::vector<bool>& slots);
   void takeOver(const std::vector<bool>& slots);
   void finishTransfersTo(MemberIndex member, MilliTime now);
--- a/buckthornwing/src/Handover/RecordSender.cpp
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -17,17 +17,24 @@
 constexpr std::size_t kWorthSending = 60;
 constexpr MilliDuration kRepeatAfter{ 500 };
 constexpr unsigned kMostTries = 20;
+bool
+handsOver(BatchPurpose purpose)
+{
+  return purpose == BatchPurpose::handover ||
+         purpose == BatchPurpose::handoverUnconfirmed;
+}
+
 /// \brief Hints beyond this are not worth their wait.
 constexpr std::size_t kMostQueuedHints = 2000;
 /// \brief Bounds the work of one tick.
 constexpr unsigned kMostBatchesPerTick = 64;
 
 /// \brief Purposes in the order in which they are served.
-constexpr std::array kPurposes{ BatchPurpose::handover,
-                                BatchPurpose::withdraw,
-                                BatchPurpose::backup,
-                                BatchPurpose::away,
-                                BatchPurpose::hint };
+constexpr std::array kPurposes{
+  BatchPurpose::handover, BatchPurpose::handoverUnconfirmed,
+  BatchPurpose::withdraw, BatchPurpose::backup,
+  BatchPurpose::away,     BatchPurpose::hint
+};
 
 }
 
@@ -51,7 +58,7 @@
   if (!sparable || queue.flows.size() < internal::kMostQueuedHints) {
     queue.flows.push_back(flow);
   }
-  if (purpose == BatchPurpose::handover) {
+  if (internal::handsOver(purpose)) {
     this->noteHandover(flow, found->second.service, 1);
   }
 }
@@ -68,7 +75,7 @@
 RecordSender::confirm(const Pending& pending)
 {
   const auto* batch = std::get_if<FlowBatch>(&pending.body);
-  if (batch == nullptr || batch->purpose != BatchPurpose::handover) {
+  if (batch == nullptr || !internal::handsOver(batch->purpose)) {
     return;
   }
   const ServiceIndex service = this->board.serviceByTag.at(batch->service);
@@ -133,7 +140,7 @@
   if (queue.flows.empty()) {
     return false;
   }
-  if (key.purpose == BatchPurpose::handover) {
+  if (internal::handsOver(key.purpose)) {
     return true;
   }
   if (this->budget.tokens <= 0) {
@@ -222,7 +229,7 @@
                         found->second.service == service &&
                         this->stillWanted(found->second, batch.purpose);
     if (!wanted) {
-      if (batch.purpose == BatchPurpose::handover) {
+      if (internal::handsOver(batch.purpose)) {
         this->noteHandover(flow, service, -1);
       }
       queue.flows.pop_front();
@@ -257,6 +264,7 @@
   Counters& counters = this->board.counters;
   switch (batch.purpose) {
     case BatchPurpose::handover:
+    case BatchPurpose::handoverUnconfirmed:
       counters.handedOver += records;
       break;
     case BatchPurpose::backup:
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -176,7 +176,6 @@
     member.suspectedAt = now;
   }
   if (liveness == Liveness::dead) {
-    member.statesSeen = kNoStatesVersion;
     member.awaySent = false;
   }
   this->ownersChanged =
--- a/buckthornwing/src/Peer/PeerCodec.cpp
+++ b/buckthornwing/src/Peer/PeerCodec.cpp
@@ -141,6 +141,7 @@
       buckets.buckets = service.buckets;
       states.services.push_back(buckets);
     }
+    states.slots = body.slots;
     this->out.__set_bucketStates(states);
   }
 
@@ -225,6 +226,7 @@
   states.revision = static_cast<std::uint64_t>(in.revision);
   states.part = static_cast<std::uint16_t>(in.part);
   states.parts = static_cast<std::uint16_t>(in.parts);
+  states.slots = in.slots;
   for (const wire::ServiceBuckets& service : in.services) {
     states.services.push_back(
       { toUnsigned(service.serviceTag), service.buckets });
--- a/buckthornwing/src/Peer/PeerMessage.h
+++ b/buckthornwing/src/Peer/PeerMessage.h
@@ -88,8 +88,9 @@
 /// \brief Why flow records are sent.
 enum class BatchPurpose : std::uint8_t
 {
-  handover, ///< the receiver becomes the owner
-  backup,   ///< the receiver keeps them in case the owner fails
+  handover,            ///< the receiver becomes the owner
+  handoverUnconfirmed, ///< likewise, but the flow may have ended
+  backup,              ///< the receiver keeps them in case the owner fails
   away,     ///< these flows are away from their table target; forward by them
   hint,     ///< the receiver relays many packets of these flows
   withdraw, ///< these flows ended; forget them
@@ -126,6 +127,9 @@
   std::uint16_t part = 0;
   std::uint16_t parts = 1;
   std::vector<ServiceBuckets> services;
+  /// Slots that the sender acts for, in the first part alone. Their buckets
+  /// that are not listed follow the table.
+  std::string slots;
 };
 
 /// \brief Asks for the receiver's BucketStates.
--- a/buckthornwing/src/Peer/peer.thrift
+++ b/buckthornwing/src/Peer/peer.thrift
@@ -53,6 +53,7 @@
   3: i16 part
   4: i16 parts
   5: list<ServiceBuckets> services
+  6: binary slots
 }
 
 struct StatesRequest {
--- a/measure/Result.h
+++ b/measure/Result.h
@@ -34,6 +34,7 @@
   std::int64_t configLagMs = 0;
   /// \name Not in the line, printed on request
   /// @{
+  std::uint64_t revisionFalls = 0;
   std::array<std::uint64_t, std::variant_size_v<PeerBody>> bytesByKind{};
   std::array<std::uint64_t, kReasonCount> openingDrops{};
   std::array<std::uint64_t, kReasonCount> otherDrops{};
--- a/measure/World.h
+++ b/measure/World.h
@@ -124,6 +124,13 @@
     this->publish();
   }
 
+  /// \brief Publishes that a target that was draining serves again.
+  void serveAgain(const std::string& id)
+  {
+    this->drainedAt.erase(id);
+    this->publish();
+  }
+
   /// \brief Opens the callers' flows over some seconds.
   void startCallers()
   {
@@ -342,6 +349,7 @@
     if (revision == instance.revisionNoted) {
       return;
     }
+    this->result.revisionFalls += revision < instance.revisionNoted ? 1 : 0;
     instance.revisionNoted = revision;
     const auto found = this->publishedAt.find(revision);
     if (found != this->publishedAt.end() && !this->net.cut(instance.zone)) {
--- /dev/null
+++ b/test/model.cpp
@@ -0,0 +1,318 @@
+/// \file
+/// \brief Stateful fuzzing of whole engines against a simple oracle.
+///
+/// RapidCheck draws sequences of operators' changes and faults. They run over
+/// several engines on the fake network, while callers keep flows open. The
+/// oracle is the World's map of each flow to the first target that got it, and
+/// the published facts with their times.
+
+#include "../measure/World.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <vector>
+
+using namespace buckthornwing;
+using namespace buckthornwing::literals;
+using namespace buckthornwing::measure;
+
+namespace {
+
+using EngineWorld = World<EngineNode>;
+
+/// \brief What a sequence may consist of.
+enum class Kind
+{
+  advance,
+  drain,
+  serve,
+  moveLabels,
+  join,
+  leave,
+  loseMessages,
+  mendLinks,
+  platformDown,
+  platformUp,
+  pause,
+  kill,
+  cut,
+  heal,
+};
+
+struct Command
+{
+  Kind kind = Kind::advance;
+  std::size_t argument = 0;
+};
+
+std::ostream&
+operator<<(std::ostream& out, const Command& command)
+{
+  return out << '{' << static_cast<int>(command.kind) << ',' << command.argument
+             << '}';
+}
+
+Deployment
+smallDeployment()
+{
+  Deployment deployment{ "small", { "a", "b", "c" }, 4, 1, 4, {} };
+  deployment.services = {
+    { "alpha", "203.0.113.1", "sticky", 5, 2, 150, 25, 1.0, 500 },
+    { "beta", "203.0.113.2", "spread", 3, 1, 80, 10, 1.0, 500 },
+  };
+  return deployment;
+}
+
+/// \brief Carries out commands that make sense in the world's present state.
+class Player
+{
+public:
+  explicit Player(std::uint64_t seed)
+    : world(smallDeployment(), seed, {})
+  {
+    for (std::size_t i = 0; i < 4; ++i) {
+      this->live.push_back(i);
+    }
+  }
+
+  EngineWorld world;
+
+  void play(const Command& command)
+  {
+    switch (command.kind) {
+      case Kind::advance:
+        break;
+      case Kind::drain:
+      case Kind::serve:
+        this->setState(command);
+        break;
+      case Kind::moveLabels:
+        this->moveLabels(command.argument);
+        break;
+      case Kind::join:
+        this->join();
+        break;
+      case Kind::leave:
+      case Kind::kill:
+        this->remove(command);
+        break;
+      case Kind::loseMessages:
+        this->world.faults.peerLinks = { 0.05, 0.02, 0.05 };
+        break;
+      case Kind::mendLinks:
+        this->world.faults.peerLinks = {};
+        break;
+      case Kind::platformDown:
+      case Kind::platformUp:
+        this->world.faults.platformDown = command.kind == Kind::platformDown;
+        break;
+      case Kind::pause:
+        this->world.pause(this->live[command.argument % this->live.size()],
+                          8_s);
+        break;
+      case Kind::cut:
+        this->world.net.cutZone = "c";
+        break;
+      case Kind::heal:
+        this->world.net.cutZone.clear();
+        break;
+    }
+    this->world.run(MilliDuration{
+      static_cast<std::int64_t>(200 + command.argument % 7 * 900) });
+  }
+
+private:
+  std::vector<std::size_t> live;
+
+  void setState(const Command& command)
+  {
+    auto& targets = this->world.published.targets;
+    TargetConfig& target = targets[command.argument % targets.size()];
+    const auto serving = std::count_if(
+      targets.begin(), targets.end(), [&](const TargetConfig& other) {
+        return other.state == TargetState::serving &&
+               other.labels.at("app") == target.labels.at("app") &&
+               other.labels.at("tier") != "spare";
+      });
+    const bool draining = target.state == TargetState::draining;
+    if (command.kind == Kind::serve && draining) {
+      target.state = TargetState::serving;
+      this->world.serveAgain(target.id);
+    } else if (command.kind == Kind::drain && !draining && serving > 1 &&
+               !this->world.faults.platformDown &&
+               this->world.net.cutZone.empty()) {
+      this->world.drain(target.id);
+    }
+  }
+
+  void moveLabels(std::size_t argument)
+  {
+    auto& targets = this->world.published.targets;
+    TargetConfig& target = targets[argument % targets.size()];
+    auto& tier = target.labels["tier"];
+    const bool spare = tier == "spare";
+    const auto selected = std::count_if(
+      targets.begin(), targets.end(), [&](const TargetConfig& other) {
+        return other.labels.at("app") == target.labels.at("app") &&
+               other.labels.at("tier") != "spare" &&
+               other.state == TargetState::serving;
+      });
+    if (spare || selected > 2) {
+      tier = spare ? "gold" : "spare";
+      this->world.publish();
+    }
+  }
+
+  void join()
+  {
+    constexpr std::size_t kMostInstances = 7;
+    const std::size_t number = this->world.instanceCount();
+    if (number < kMostInstances) {
+      this->world.addInstance(number);
+      this->live.push_back(number);
+    }
+  }
+
+  void remove(const Command& command)
+  {
+    constexpr std::size_t kLeastInstances = 2;
+    if (this->live.size() <= kLeastInstances) {
+      return;
+    }
+    const std::size_t position = command.argument % this->live.size();
+    const std::size_t index = this->live[position];
+    this->live.erase(this->live.begin() +
+                     static_cast<std::ptrdiff_t>(position));
+    if (command.kind == Kind::leave) {
+      this->world.stop(index);
+    } else {
+      this->world.kill(index);
+    }
+  }
+};
+
+rc::Gen<std::vector<Command>>
+commandsOf(const std::vector<Kind>& kinds)
+{
+  return rc::gen::container<std::vector<Command>>(
+    rc::gen::map(rc::gen::pair(rc::gen::elementOf(kinds),
+                               rc::gen::inRange<std::size_t>(0, 100)),
+                 [](const auto& pair) {
+                   return Command{ pair.first, pair.second };
+                 }));
+}
+
+/// \brief Plays a sequence over callers' flows and lets stalls show.
+Result
+playAll(std::uint64_t seed,
+        bool longRunning,
+        const std::vector<Command>& commands)
+{
+  Player player(seed);
+  // A fleet that ran long knows each open flow; a young one does not.
+  player.world.run(longRunning ? 930_s : 5_s);
+  player.world.startCallers();
+  player.world.run(12_s);
+  player.world.startMeasuring();
+  for (const Command& command : commands) {
+    player.play(command);
+  }
+  player.play({ Kind::heal, 0 });
+  player.play({ Kind::mendLinks, 0 });
+  player.play({ Kind::platformUp, 0 });
+  player.world.run(40_s);
+  player.world.finish();
+  return player.world.result;
+}
+
+void
+assertAlwaysTrue(const Result& result)
+{
+  RC_ASSERT(result.misdelivered == 0U);
+  RC_ASSERT(result.falseRefusals == 0U);
+  RC_ASSERT(result.latePlacements == 0U);
+  RC_ASSERT(result.revisionFalls == 0U);
+  RC_ASSERT(result.flows > 0U);
+}
+
+const std::vector<Kind> kPlanned{ Kind::advance,    Kind::drain, Kind::serve,
+                                  Kind::moveLabels, Kind::join,  Kind::leave };
+
+const std::vector<Kind> kControlFaults{ Kind::advance,      Kind::drain,
+                                        Kind::moveLabels,   Kind::join,
+                                        Kind::loseMessages, Kind::mendLinks,
+                                        Kind::platformDown, Kind::platformUp };
+
+const std::vector<Kind> kAllFaults{
+  Kind::advance,    Kind::drain, Kind::serve,        Kind::moveLabels,
+  Kind::join,       Kind::leave, Kind::loseMessages, Kind::platformDown,
+  Kind::platformUp, Kind::pause, Kind::kill,         Kind::cut,
+  Kind::heal
+};
+
+}
+
+Test(model, planned_changes_break_no_flow)
+{
+  cr_assert(rc::check("planned changes", [] {
+    const auto commands = *commandsOf(kPlanned);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const bool longRunning = *rc::gen::arbitrary<bool>();
+    const Result result = playAll(seed, longRunning, commands);
+    assertAlwaysTrue(result);
+    RC_ASSERT(result.ranTwice == 0U);
+    RC_ASSERT(result.broken == 0U);
+  }));
+}
+
+Test(model, control_plane_faults_break_no_flow)
+{
+  cr_assert(rc::check("control-plane faults", [] {
+    const auto commands = *commandsOf(kControlFaults);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const Result result = playAll(seed, true, commands);
+    assertAlwaysTrue(result);
+    RC_ASSERT(result.ranTwice == 0U);
+    RC_ASSERT(result.broken == 0U);
+  }));
+}
+
+Test(model, no_fault_misdelivers_or_refuses_falsely)
+{
+  cr_assert(rc::check("all faults", [] {
+    const auto commands = *commandsOf(kAllFaults);
+    const auto seed = *rc::gen::arbitrary<std::uint64_t>();
+    const bool longRunning = *rc::gen::arbitrary<bool>();
+    assertAlwaysTrue(playAll(seed, longRunning, commands));
+  }));
+}
+
+/// \brief Without faults or load, both policies deliver the same: each flow
+/// whole to one target that its service selects.
+Test(model, agrees_with_the_naive_policy_without_faults)
+{
+  const auto run = [](auto& world) {
+    world.run(5_s);
+    world.startCallers();
+    world.run(12_s);
+    world.startMeasuring();
+    world.run(20_s);
+    world.finish();
+    return world.result;
+  };
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    EngineWorld engines(smallDeployment(), seed, {});
+    World<NaiveNode> naive(smallDeployment(), seed, {});
+    const Result ours = run(engines);
+    const Result theirs = run(naive);
+    for (const Result& result : { ours, theirs }) {
+      cr_assert_eq(result.broken, 0);
+      cr_assert_eq(result.misdelivered, 0);
+      cr_assert_eq(result.ranTwice, 0);
+      cr_assert_eq(result.refused, 0);
+      cr_assert_geq(result.openFlows, 220);
+    }
+  }
+}
--- a/test/peer.cpp
+++ b/test/peer.cpp
@@ -37,7 +37,7 @@
     Relay{ { 1, 2 }, { 0x45, 0, 1 } },
     std::get<FlowBatch>(sampleMessage().body),
     Acknowledgement{ { 1, 0xffffffff } },
-    BucketStates{ 3, 42, 1, 2, { { 8, "abc" } } },
+    BucketStates{ 3, 42, 1, 2, { { 8, "abc" } }, "s" },
     StatesRequest{},
     OwnershipTransfer{ 4, true, "xyz" },
     LoadSummary{ 42, "ab", "c" },
