Instances that join at once no longer wait for slots that nobody hands over

Cause: several joiners each took another for the earlier owner and waited 8 s for its transfer; openings were dropped meanwhile. Change: an instance that is asked for a slot that it does not have says so; slots that nobody owned before are vouched for at once.

--- a/buckthornwing/src/Board/Blackboard.h
+++ b/buckthornwing/src/Board/Blackboard.h
@@ -11,9 +11,11 @@
 #include "Service.h"
 #include "Target.h"
 
+#include <set>
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace buckthornwing {
@@ -84,6 +86,9 @@
   std::unordered_map<std::uint32_t, TargetIndex> targetByTag;
   std::unordered_map<std::uint32_t, ServiceIndex> serviceByTag;
   std::unordered_map<MemberTag, MemberIndex> memberByTag;
+  /// Slots that a member waits to get from this instance, which has not got
+  /// them either.
+  std::set<std::pair<MemberIndex, SlotIndex>> disclaims;
   FlowTable flows;
   Counters counters;
   Outbox outbox;
--- a/buckthornwing/src/Engine/Engine.cpp
+++ b/buckthornwing/src/Engine/Engine.cpp
@@ -133,11 +133,6 @@
   if (!this->membership.takeOwnersChanged()) {
     return;
   }
-  const bool owner = this->board.self().owner();
-  if (owner && !this->wasOwner && this->board.ownerCount() == 1) {
-    this->states.vouchForAll();
-  }
-  this->wasOwner = owner;
   this->ownership.reassign(now);
   if (healed) {
     this->ownership.startMerge(now);
--- a/buckthornwing/src/Engine/Engine.h
+++ b/buckthornwing/src/Engine/Engine.h
@@ -99,7 +99,6 @@
   ForwardingController forwarding;
   MilliTime lastPacketAt{};
   MilliTime stopRequestedAt{ -1 };
-  bool wasOwner = false;
   std::uint64_t announcedRevision = 0;
 
   void noticeRevision(MilliTime now);
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -176,6 +176,9 @@
 {
   const Slot& slot = this->board.slots[request.slot];
   if (!slot.acting()) {
+    if (request.relayed() && slot.owners.primary == request.from) {
+      this->board.disclaims.emplace(request.from, request.slot);
+    }
     Service& service = this->board.services[request.service];
     if (!request.relayed() && !takeRelay(service, request.now)) {
       return this->drop(request, Reason::relayLimited);
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -433,11 +433,17 @@
 }
 
 void
-BucketStatesController::vouchForAll()
+BucketStatesController::vouchFor(const std::vector<bool>& slots)
 {
+  if (std::none_of(
+        slots.begin(), slots.end(), [](bool slot) { return slot; })) {
+    return;
+  }
   for (Service& service : this->board.services) {
-    for (std::uint8_t& flags : service.flags) {
-      internal::clearFlags(flags, bucket_flag::kUnvouched);
+    for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
+      if (slots[slotOf(b)]) {
+        internal::clearFlags(service.flags[b], bucket_flag::kUnvouched);
+      }
     }
   }
   this->announce();
--- a/buckthornwing/src/Handover/BucketStatesController.h
+++ b/buckthornwing/src/Handover/BucketStatesController.h
@@ -44,9 +44,8 @@
   /// that the other side placed.
   void flagAll();
 
-  /// \brief Trusts the table of a fleet that has no flows yet; called when
-  /// this instance is the first to own any.
-  void vouchForAll();
+  /// \brief Trusts the table for slots that nobody owned before.
+  void vouchFor(const std::vector<bool>& slots);
 
   /// \brief Tells every instance the state of this one's buckets.
   void announce();
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -1,6 +1,7 @@
 #include "OwnershipController.h"
 
 #include <algorithm>
+#include <map>
 
 namespace buckthornwing {
 namespace internal {
@@ -74,6 +75,7 @@
   std::vector<bool> toSend(kSlotCount);
   std::vector<bool> gained(kSlotCount);
   std::vector<MemberIndex> predecessors(kSlotCount, kNoMember);
+  std::vector<bool> unowned(kSlotCount);
   std::size_t changed = 0;
   for (SlotIndex i = 0; i < kSlotCount; ++i) {
     Slot& slot = this->board.slots[i];
@@ -82,6 +84,7 @@
     changed += slot.owners.primary == owners[i].primary ? 0 : 1;
     toSend[i] = this->updateSlot(slot, owners[i], now);
     gained[i] = !wasPrimary && slot.owners.primary == kSelf;
+    unowned[i] = gained[i] && predecessors[i] == kNoMember;
     predecessors[i] = gained[i] ? predecessors[i] : kNoMember;
   }
   if (changed == 0) {
@@ -89,6 +92,7 @@
   }
   ++this->board.counters.ownerChanges;
   this->flagUnlessInSync(predecessors);
+  this->states.vouchFor(unowned);
   this->takeOver(gained);
   this->queueHandovers(toSend);
   if (this->board.trust.rejoining) {
@@ -166,6 +170,7 @@
 void
 OwnershipController::tick(MilliTime now)
 {
+  this->sendDisclaims(now);
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
     this->finishTransfersTo(i, now);
   }
@@ -182,6 +187,22 @@
   }
 }
 
+/// \brief Frees members from a wait for slots that this instance never had,
+/// as happens when several join at once.
+void
+OwnershipController::sendDisclaims(MilliTime now)
+{
+  std::map<MemberIndex, std::vector<std::uint32_t>> slots;
+  for (const auto& [member, slot] : this->board.disclaims) {
+    slots[member].push_back(slot);
+  }
+  this->board.disclaims.clear();
+  for (const auto& [member, list] : slots) {
+    this->sender.sendReliably(
+      member, OwnershipTransfer{ 0, false, packAscending(list) }, now);
+  }
+}
+
 void
 OwnershipController::finishTransfersTo(MemberIndex member, MilliTime now)
 {
--- a/buckthornwing/src/Handover/OwnershipController.h
+++ b/buckthornwing/src/Handover/OwnershipController.h
@@ -47,6 +47,7 @@
   void flagUnlessInSync(const std::vector<MemberIndex>& predecessors);
   void queueHandovers(const std::vector<bool>& slots);
   void takeOver(const std::vector<bool>& slots);
+  void sendDisclaims(MilliTime now);
   void finishTransfersTo(MemberIndex member, MilliTime now);
   void releaseSlots(const std::vector<bool>& released);
   void takeRecord(const FlowRecord& record,
