--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -80,6 +80,14 @@
 void
 BucketStatesController::sendStates(MemberIndex to)
 {
+  // Flags are cleared only for an instance that knows the away flows: one that
+  // came back while they were shared has to get them first.
+  const bool knowsAwayFlows = this->board.members[to].awaySent &&
+                              this->sender.idle(to, BatchPurpose::away);
+  if (!knowsAwayFlows) {
+    this->onStatesRequest(to);
+    return;
+  }
   for (BucketStates& part : this->buildStates()) {
     this->board.send(to, std::move(part));
   }
@@ -90,15 +98,8 @@
 {
   ++this->board.statesVersion;
   for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
-    const Member& member = this->board.members[i];
-    if (!member.reachable()) {
-      continue;
-    }
-    // One that came back while the flows were shared has to get them first.
-    if (member.awaySent) {
+    if (this->board.members[i].reachable()) {
       this->sendStates(i);
-    } else {
-      this->onStatesRequest(i);
     }
   }
 }
@@ -205,7 +206,6 @@
         }
       }
     }
-    // The flags are cleared only for a peer that knows the away flows.
     if (!this->sender.idle(to, BatchPurpose::away)) {
       return false;
     }
--- /dev/null
+++ b/test/io.cpp
@@ -0,0 +1,231 @@
+/// \file
+/// \brief Tests of the Io module, and an end-to-end path over real sockets on
+/// ephemeral ports.
+
+#include <Io>
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/leaf.hpp>
+
+#include <chrono>
+#include <memory>
+
+using namespace buckthornwing;
+
+namespace {
+
+const char* const kSettings =
+  R"({"id":"entry-1","zone":"a","data_address":"127.0.0.1:0",
+  "peer_address":"127.0.0.1:0","operators_address":"127.0.0.1:0",
+  "configuration_service":"127.0.0.1:1","reply_address":"127.0.0.1:2",
+  "fleet_key":"a secret of some length"})";
+
+/// \returns the error of a result, or empty text.
+template<typename Body>
+std::string
+errorOf(Body body)
+{
+  return boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<std::string> {
+      BOOST_LEAF_CHECK(body());
+      return std::string();
+    },
+    [](const Error& error) { return formatError(error); },
+    [] { return std::string("another error"); });
+}
+
+/// \brief Runs a context until a condition holds; the limit only ends a test
+/// that would never end.
+template<typename Condition>
+bool
+runUntil(boost::asio::io_context& context, Condition condition)
+{
+  const auto limit =
+    std::chrono::steady_clock::now() + std::chrono::seconds(60);
+  while (!condition() && std::chrono::steady_clock::now() < limit) {
+    context.run_for(std::chrono::milliseconds(20));
+    context.restart();
+  }
+  return condition();
+}
+
+const Endpoint kAnyPort = *parseEndpoint("127.0.0.1:0");
+
+}
+
+Test(settings, good_ones_are_read)
+{
+  cr_assert(
+    errorOf([] { return parseDaemonSettings(kSettings, "f"); }).empty());
+}
+
+Test(settings, each_problem_is_named_in_one_line)
+{
+  std::string text(kSettings);
+  text.replace(text.find("\"zone\""), 6, "\"zoen\"");
+  text.replace(text.find("127.0.0.1:1\""), 12, "localhost:1\"");
+  const std::string error =
+    errorOf([&] { return parseDaemonSettings(text, "entry.json"); });
+  for (const char* part : { "entry.json",
+                            "$.zone",
+                            "did you mean \"zone\"",
+                            "$.configuration_service" }) {
+    cr_assert(error.find(part) != std::string::npos, "%s", error.c_str());
+  }
+  cr_assert_eq(error.find('\n'), std::string::npos);
+}
+
+Test(sockets, a_taken_port_is_an_error_with_step_and_peer)
+{
+  boost::asio::io_context context;
+  UdpSocket first(context);
+  cr_assert(
+    errorOf([&] { return first.open(kAnyPort, "bind first"); }).empty());
+  UdpSocket second(context);
+  const std::string error =
+    errorOf([&] { return second.open(first.localEndpoint(), "bind second"); });
+  cr_assert(error.find("bind second (127.0.0.1:") == 0, "%s", error.c_str());
+}
+
+Test(http, query_numbers_are_read)
+{
+  cr_assert_eq(queryNumber("/v1/config?after=41&wait_ms=7", "after", 0), 41);
+  cr_assert_eq(queryNumber("/v1/config?after=41&wait_ms=7", "wait_ms", 0), 7);
+  cr_assert_eq(queryNumber("/v1/config?after=x", "after", 3), 3);
+  cr_assert_eq(queryNumber("/v1/config", "after", 3), 3);
+}
+
+Test(poller, urls_and_reports_are_read)
+{
+  cr_assert(parseStatusUrl("http://127.0.0.1:8081/status")->path == "/status");
+  cr_assert(parseStatusUrl("http://127.0.0.1:8081")->path == "/");
+  cr_assert_not(parseStatusUrl("https://127.0.0.1:8081").has_value());
+  cr_assert_not(parseStatusUrl("http://localhost:8081").has_value());
+  cr_assert_not(parseLoadReport("[]").has_value());
+  const auto report =
+    parseLoadReport(R"({"healthy":true,"connections":12,"shedding":true})");
+  cr_assert(report->healthy && report->shedding);
+  cr_assert_eq(report->connections, 12);
+}
+
+namespace {
+
+/// \brief A configuration service that fails before it answers.
+class FlakyService
+{
+public:
+  explicit FlakyService(boost::asio::io_context& context)
+    : server(context)
+  {
+    cr_assert(
+      errorOf([&] { return this->server.open(kAnyPort, "x"); }).empty());
+    this->server.start(
+      [this](const std::string& target, const HttpServer::Respond& respond) {
+        this->serve(target, respond);
+      });
+  }
+
+  HttpServer server;
+  std::string text;
+  unsigned calls = 0;
+
+private:
+  void serve(const std::string& target, const HttpServer::Respond& respond)
+  {
+    ++this->calls;
+    if (this->calls == 1) {
+      respond({ 429, "text/plain", "over the limit\n", "" });
+    } else if (this->calls == 2) {
+      respond({ 200, "application/json", "{malformed", "" });
+    } else if (queryNumber(target, "after", 0) == 0) {
+      respond({ 200, "application/json", this->text, "" });
+    }
+    // A later watch stays open: the connection is dropped unanswered.
+  }
+};
+
+std::string
+documentFor(const Endpoint& tunnel)
+{
+  return R"({"revision":7,"hash_seed":"ab","services":[{"name":"a",
+    "addresses":["203.0.113.1"],"protocol":"tcp","ports":[443],
+    "selector":"app=a"}],"targets":[{"id":"t","address":"127.0.0.1",
+    "tunnel_port":)" +
+         std::to_string(tunnel.port) + R"(,"zone":"a","labels":{"app":"a"}}]})";
+}
+
+}
+
+/// \brief Platform, two daemons and a target on loopback: packets to either
+/// daemon reach the target unchanged, and a planned stop ends.
+Test(end_to_end, packets_cross_two_daemons_and_a_stop_hands_over)
+{
+  boost::asio::io_context context;
+  UdpSocket target(context);
+  cr_assert(errorOf([&] { return target.open(kAnyPort, "t"); }).empty());
+  std::vector<std::vector<std::uint8_t>> arrived;
+  target.start([&](std::span<const std::uint8_t> packet) {
+    arrived.emplace_back(packet.begin(), packet.end());
+  });
+  FlakyService platform(context);
+  platform.text = documentFor(target.localEndpoint());
+
+  std::vector<std::unique_ptr<EntryServer>> servers;
+  for (const char* id : { "entry-1", "entry-2" }) {
+    DaemonSettings settings = parseDaemonSettings(kSettings, "f").value();
+    settings.engine.id = id;
+    settings.configurationService = platform.server.localEndpoint();
+    settings.logFile = "/dev/full";
+    if (!servers.empty()) {
+      settings.engine.seeds = { servers[0]->peerEndpoint() };
+    }
+    servers.push_back(std::make_unique<EntryServer>(context, settings));
+    cr_assert(errorOf([&] { return servers.back()->start(); }).empty());
+  }
+  const auto live = [&](std::size_t owners) {
+    return std::all_of(servers.begin(), servers.end(), [&](const auto& server) {
+      const Blackboard& board = server->engine().blackboard();
+      const bool acting = std::any_of(board.slots.begin(),
+                                      board.slots.end(),
+                                      [](const Slot& s) { return s.acting(); });
+      return board.view.revision == 7 && board.trust.trusted && acting &&
+             board.ownerCount() == owners;
+    });
+  };
+  cr_assert(runUntil(context, [&] { return live(2); }));
+
+  UdpSocket fabric(context);
+  cr_assert(errorOf([&] { return fabric.open(kAnyPort, "f"); }).empty());
+  const FlowKey key = *parseFlowKey("tcp 10.0.0.1:1000 203.0.113.1:443");
+  std::vector<std::uint8_t> sent;
+  const auto deliver = [&](TcpFlags flags, std::size_t server) {
+    sent = buildTcpPacket(key, flags, {});
+    arrived.clear();
+    return runUntil(context, [&] {
+      fabric.send(sent, servers[server]->dataEndpoint());
+      context.run_for(std::chrono::milliseconds(20));
+      context.restart();
+      return !arrived.empty();
+    });
+  };
+  for (const std::size_t server : { 0UL, 1UL, 0UL }) {
+    cr_assert(deliver({ .syn = true }, server));
+    cr_assert(arrived.front() == sent);
+    cr_assert(deliver({ .ack = true }, server));
+    cr_assert(arrived.front() == sent);
+  }
+  const std::uint64_t placed =
+    servers[0]->engine().blackboard().counters.placed +
+    servers[1]->engine().blackboard().counters.placed;
+  cr_assert_eq(placed, 1);
+
+  servers[1]->requestStop();
+  cr_assert(runUntil(context, [&] {
+    const Blackboard& board = servers[1]->engine().blackboard();
+    return board.self().phase == Phase::stopped;
+  }));
+  cr_assert(deliver({ .ack = true }, 0));
+  cr_assert_geq(platform.calls, 3);
+}
