--- a/buckthornwing/src/Board/Blackboard.h
+++ b/buckthornwing/src/Board/Blackboard.h
@@ -103,6 +103,12 @@
     return found == this->memberByTag.end() ? kNoMember : found->second;
   }
 
+  /// \returns how many members are known, this instance among them.
+  MemberIndex memberCount() const
+  {
+    return static_cast<MemberIndex>(this->members.size());
+  }
+
   /// \returns the header of this instance's next message.
   PeerHeader header() const
   {
--- a/buckthornwing/src/Distribution/ConfigurationController.cpp
+++ b/buckthornwing/src/Distribution/ConfigurationController.cpp
@@ -256,7 +256,7 @@
   }
   MemberIndex best = kNoMember;
   std::size_t ties = 0;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (!member.reachable() || member.revision <= view.revision) {
       continue;
@@ -287,7 +287,7 @@
   }
   const std::uint64_t own = hashText(self.id, 4);
   std::size_t before = 0;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (member.owner() && member.zone == self.zone &&
         hashText(member.id, 4) < own) {
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -97,7 +97,7 @@
 BucketStatesController::announce()
 {
   ++this->board.statesVersion;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     if (this->board.members[i].reachable()) {
       this->sendStates(i);
     }
@@ -242,7 +242,7 @@
     this->nextUnvouchedAt = now + internal::kSettlePeriod;
     unvouched = this->unvouchedOwners();
   }
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     Member& member = this->board.members[i];
     const bool missing =
       member.reachable() &&
@@ -351,7 +351,7 @@
     }
     entry.flags |= entry_flag::kAway;
     queued = true;
-    for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
       if (this->board.members[i].reachable()) {
         this->sender.enqueue(i, BatchPurpose::away, flow);
       }
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -245,7 +245,7 @@
   if (!entry.has(entry_flag::kAway)) {
     return;
   }
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     if (this->board.members[i].reachable()) {
       this->sender.enqueue(i, BatchPurpose::withdraw, flow);
     }
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -171,7 +171,7 @@
 OwnershipController::tick(MilliTime now)
 {
   this->sendDisclaims(now);
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     this->finishTransfersTo(i, now);
   }
   for (Slot& slot : this->board.slots) {
--- a/buckthornwing/src/Handover/RecordSender.cpp
+++ b/buckthornwing/src/Handover/RecordSender.cpp
@@ -328,7 +328,7 @@
 bool
 RecordSender::idle(BatchPurpose purpose) const
 {
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     if (this->board.members[i].reachable() && !this->idle(i, purpose)) {
       return false;
     }
--- a/buckthornwing/src/Io/JsonLog.cpp
+++ b/buckthornwing/src/Io/JsonLog.cpp
@@ -24,7 +24,7 @@
     LOG4CXX_DECODE_CHAR(path, fileName);
     appender.reset(new log4cxx::FileAppender(layout, path, true));
   }
-  const log4cxx::LoggerPtr logger =
+  log4cxx::LoggerPtr logger =
     log4cxx::Logger::getLogger(LOG4CXX_STR("buckthornwing"));
   logger->removeAllAppenders();
   logger->setAdditivity(false);
@@ -95,7 +95,12 @@
     batch.swap(this->lines);
     lock.unlock();
     for (const std::string& line : batch) {
-      LOG4CXX_INFO(logger, line);
+      try {
+        LOG4CXX_INFO(logger, line);
+      } catch (const std::exception&) {
+        // A full disk costs log lines, never packets.
+        ++this->lostLines;
+      }
     }
     lock.lock();
   }
--- a/buckthornwing/src/Load/LoadController.cpp
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -113,7 +113,7 @@
   const LoadSummary summary{ this->board.view.revision,
                              packNumbers(counts),
                              packNumbers(serviceCounts) };
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     if (this->board.members[i].owner()) {
       this->board.send(i, summary);
     }
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -391,7 +391,7 @@
 {
   this->spread(kSelf);
   std::size_t sent = 0;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     const bool toFind = this->board.self().phase == Phase::joining &&
                         member.liveness == Liveness::unknown;
@@ -409,7 +409,7 @@
 MembershipController::probeDead()
 {
   std::vector<MemberIndex> dead;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (member.liveness == Liveness::dead && member.phase != Phase::stopped) {
       dead.push_back(i);
@@ -427,7 +427,7 @@
 MembershipController::findListed()
 {
   std::size_t sent = 0;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const bool toFind = this->board.members[i].liveness == Liveness::unknown;
     if (toFind && ++sent <= internal::kMostDirectAnnouncements) {
       this->sendProbe(i, ProbeKind::ping, this->nextSequence++);
@@ -457,7 +457,7 @@
   const bool unreachableTurn =
     ++this->probesSent % internal::kUnreachableProbeEvery == 0;
   std::vector<MemberIndex> unreachable;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (member.liveness == Liveness::unknown) {
       unreachable.push_back(i);
@@ -468,7 +468,7 @@
     return unreachable[this->board.random.below(unreachable.size())];
   }
   if (this->round.empty()) {
-    for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+    for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
       if (this->board.members[i].reachable()) {
         this->round.push_back(i);
       }
@@ -508,7 +508,7 @@
                                       std::uint32_t sequence)
 {
   std::vector<MemberIndex> others;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& other = this->board.members[i];
     if (i != member && other.liveness == Liveness::alive) {
       others.push_back(i);
@@ -556,7 +556,7 @@
 void
 MembershipController::checkSuspects(MilliTime now)
 {
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (member.liveness == Liveness::suspect &&
         now - member.suspectedAt >= internal::kDeadAfter) {
@@ -574,7 +574,7 @@
   }
   this->nextRevisionNoticeAt = now + internal::kRevisionNoticePeriod;
   std::size_t sent = 0;
-  for (MemberIndex i = 1; i < this->board.members.size(); ++i) {
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
     if (!member.reachable() || member.revision >= view.revision) {
       continue;
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -2,6 +2,7 @@
 /// \brief Tests of the Io module, and an end-to-end path over real sockets on
 /// ephemeral ports.
 
+#include <Core>
 #include <Io>
 
 #include <criterion/criterion.h>
