Load estimates follow net change; a full-rate case; a second copy for old flows

Cause: estimates extrapolated new placements without closings, so at 3,000 new flows a second all targets looked full and were diverted. Change: extrapolate the net change since the last summary; scenario F0 full_rate; flows older than 10 s get a copy in another zone. The flows broken by many diversions at once show another fault, still to be traced.

--- a/buckthornwing/src/Board/Target.h
+++ b/buckthornwing/src/Board/Target.h
@@ -38,7 +38,7 @@
   unsigned failedReports = 0;  ///< unhealthy or unreachable ones in a row
   std::uint32_t ownFlows = 0;  ///< open flows that this instance owns
   std::uint32_t peerFlows = 0; ///< open flows that peers said they own
-  std::uint32_t placedSinceSummary = 0; ///< own ones since peers last said so
+  std::uint32_t ownFlowsAtSummary = 0; ///< own ones when last told to peers
 
   bool serving() const
   {
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -141,7 +141,7 @@
 ForwardingController::entryCounts(const Request& request,
                                   const FlowEntry& entry) const
 {
-  constexpr std::uint8_t kFirstHand =
+  constexpr std::uint16_t kFirstHand =
     entry_flag::kOwned | entry_flag::kAway | entry_flag::kHint;
   return (entry.flags & kFirstHand) != 0 || request.relayed() ||
          this->board.slots[request.slot].acting();
@@ -211,9 +211,7 @@
   entry.seenSecond = entry.placedSecond;
   this->board.flows.insert_or_assign(request.flow, entry);
   this->care.noteOwned(request.flow, request.service);
-  Target& target = this->board.targets[placement.target];
-  ++target.ownFlows;
-  ++target.placedSinceSummary;
+  ++this->board.targets[placement.target].ownFlows;
   Service& service = this->board.services[request.service];
   ++service.ownFlows;
   ++service.counters.placed;
--- a/buckthornwing/src/Handover/FlowCare.cpp
+++ b/buckthornwing/src/Handover/FlowCare.cpp
@@ -20,6 +20,8 @@
 /// this often; one that is not is forgotten.
 constexpr std::uint32_t kFirstRefreshSeconds = 30;
 constexpr std::uint32_t kMostRefreshSeconds = 120;
+/// \brief Flows of this age get a copy in one more zone.
+constexpr std::uint32_t kSecondCopyAfterSeconds = 10;
 /// \brief A flow of which others were told shows itself to its owner.
 constexpr std::uint32_t kOwnerHearsEverySeconds = 60;
 /// \brief Relayed packets of a flow, through one owner, that earn a hint.
@@ -76,11 +78,11 @@
 FlowCare::noteSeen(FlowEntry& entry, MilliTime now) const
 {
   // A backup's time is that of its last refresh, not of a stray packet.
-  constexpr std::uint8_t kFirstHand =
+  constexpr std::uint16_t kFirstHand =
     entry_flag::kOwned | entry_flag::kAway | entry_flag::kHint;
   if ((entry.flags & kFirstHand) != 0) {
     entry.seenSecond = static_cast<std::uint32_t>(now.ms / 1000);
-    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kUnconfirmed);
+    entry.flags &= static_cast<std::uint16_t>(~entry_flag::kUnconfirmed);
   }
 }
 
@@ -113,7 +115,7 @@
 void
 FlowCare::count(const FlowEntry& entry, const Slot& slot)
 {
-  constexpr std::uint8_t kNotOpen =
+  constexpr std::uint16_t kNotOpen =
     entry_flag::kClosed | entry_flag::kUnconfirmed;
   const bool counts = slot.acting() && entry.has(entry_flag::kOwned) &&
                       (entry.flags & kNotOpen) == 0;
@@ -147,13 +149,24 @@
   if (!wanted) {
     return;
   }
+  constexpr std::uint16_t kCopies =
+    entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
   if (this->backupIsDue(entry, second)) {
-    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kBackedUp);
+    entry.flags &= static_cast<std::uint16_t>(~kCopies);
   }
+  const MemberIndex holder = this->backupHolder(entry, slot);
   if (!entry.has(entry_flag::kBackedUp)) {
     entry.flags |= entry_flag::kBackedUp;
-    this->sender.enqueue(
-      this->backupHolder(entry, slot), BatchPurpose::backup, flow);
+    this->sender.enqueue(holder, BatchPurpose::backup, flow);
+  }
+  const bool old =
+    second >= entry.placedSecond + internal::kSecondCopyAfterSeconds;
+  if (old && !entry.has(entry_flag::kBackedUpTwice)) {
+    const SlotOwners& owners = slot.owners;
+    entry.flags |= entry_flag::kBackedUpTwice;
+    this->sender.enqueue(holder == owners.second ? owners.third : owners.second,
+                         BatchPurpose::backup,
+                         flow);
   }
 }
 
--- a/buckthornwing/src/Handover/OwnershipController.cpp
+++ b/buckthornwing/src/Handover/OwnershipController.cpp
@@ -128,13 +128,15 @@
 void
 OwnershipController::takeOver(const std::vector<bool>& slots)
 {
+  constexpr std::uint16_t kCopies =
+    entry_flag::kBackedUp | entry_flag::kBackedUpTwice;
   for (auto& [flow, entry] : this->board.flows) {
     if (slots[this->board.slotOfFlow(flow, entry.service)]) {
       if (!entry.has(entry_flag::kOwned)) {
         entry.flags |= entry_flag::kUnconfirmed;
       }
       entry.flags |= entry_flag::kOwned;
-      entry.flags &= static_cast<std::uint8_t>(~entry_flag::kBackedUp);
+      entry.flags &= static_cast<std::uint16_t>(~kCopies);
     }
   }
 }
@@ -142,7 +144,7 @@
 void
 OwnershipController::queueHandovers(const std::vector<bool>& slots)
 {
-  constexpr std::uint8_t kWorthSending =
+  constexpr std::uint16_t kWorthSending =
     entry_flag::kOwned | entry_flag::kBackup;
   for (const auto& [flow, entry] : this->board.flows) {
     const SlotIndex index = this->board.slotOfFlow(flow, entry.service);
@@ -262,7 +264,7 @@
   for (auto& [flow, entry] : this->board.flows) {
     if (released[this->board.slotOfFlow(flow, entry.service)] &&
         entry.has(entry_flag::kOwned)) {
-      entry.flags &= static_cast<std::uint8_t>(~entry_flag::kOwned);
+      entry.flags &= static_cast<std::uint16_t>(~entry_flag::kOwned);
       entry.flags |= entry_flag::kBackup;
     }
   }
@@ -390,7 +392,7 @@
     }
   }
   if (purpose == BatchPurpose::handover) {
-    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kUnconfirmed);
+    entry.flags &= static_cast<std::uint16_t>(~entry_flag::kUnconfirmed);
   } else if (owned && purpose == BatchPurpose::handoverUnconfirmed) {
     // What this instance knows of the flow is better.
     return;
@@ -401,7 +403,7 @@
   entry.seenSecond = arrived.seenSecond;
   entry.flags |= arrived.flags;
   if (!owned) {
-    entry.flags &= static_cast<std::uint8_t>(~entry_flag::kClosed);
+    entry.flags &= static_cast<std::uint16_t>(~entry_flag::kClosed);
   }
 }
 
--- a/buckthornwing/src/Load/LoadController.cpp
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -126,7 +126,7 @@
   for (const TargetIndex index : this->board.publishedTargets) {
     Target& target = this->board.targets[index];
     counts.push_back(target.ownFlows);
-    target.placedSinceSummary = 0;
+    target.ownFlowsAtSummary = target.ownFlows;
   }
   std::vector<std::uint32_t> serviceCounts;
   for (const ServiceIndex index : this->board.publishedServices) {
@@ -157,10 +157,12 @@
 LoadController::estimate(TargetIndex index, MilliTime now) const
 {
   const Target& target = this->board.targets[index];
-  // Peers place at about this instance's own rate since they last reported.
+  // Peers' flows have changed about as this instance's own did since they
+  // last reported.
   const auto peers = static_cast<double>(this->board.ownerCount() - 1);
-  const double counted =
-    target.ownFlows + target.peerFlows + target.placedSinceSummary * peers;
+  const double own = target.ownFlows;
+  const double change = own - target.ownFlowsAtSummary;
+  const double counted = own + std::max(0.0, target.peerFlows + change * peers);
   const bool fresh = target.reportedAt.ms >= 0 &&
                      now - target.reportedAt < internal::kReportFresh;
   const double reported = fresh ? target.report.connections : 0;
--- a/buckthornwing/src/Placement/PlacementController.cpp
+++ b/buckthornwing/src/Placement/PlacementController.cpp
@@ -77,7 +77,7 @@
                                  MilliTime now,
                                  bool& decided) const
 {
-  constexpr std::uint8_t kKnownElsewhere =
+  constexpr std::uint16_t kKnownElsewhere =
     entry_flag::kHinted | entry_flag::kAway;
   const auto second = static_cast<std::uint32_t>(now.ms / 1000);
   const bool recent =
--- a/measure/Scenarios.h
+++ b/measure/Scenarios.h
@@ -20,6 +20,7 @@
 allScenarios()
 {
   return { { "F0", "" },
+           { "F0", "full_rate" },
            { "F1", "" },
            { "F2", "" },
            { "F3", "" },
@@ -133,12 +134,28 @@
   world.run(40_s);
 }
 
+/// \brief 3,000 new flows a second at each instance, short ones.
+inline void
+raiseRate(Deployment& deployment)
+{
+  constexpr std::size_t kPerInstance = 3000;
+  ServiceLoad& load = deployment.services.front();
+  load.flows = kPerInstance * deployment.instances;
+  load.meanLifeSeconds = 0.8;
+  load.packetIntervalSeconds = 0.3;
+  load.maxNewFlowsPerSecond = 0;
+}
+
 /// \brief Brings about a scenario's fault in a world at steady load.
 template<typename Policy>
 void
 playScenario(World<Policy>& world, const ScenarioName& name)
 {
   const std::string& scenario = name.scenario;
+  if (name.caseName == "full_rate") {
+    world.run(10_s);
+    return;
+  }
   if (scenario == "F1") {
     moveQuarterOfSelection(world);
   } else if (scenario == "F2") {
@@ -193,7 +210,11 @@
             const PolicySettings& settings)
 {
   using namespace buckthornwing::literals;
-  World<Policy> world(findDeployment(deploymentName), seed, settings);
+  Deployment deployment = findDeployment(deploymentName);
+  if (name.caseName == "full_rate") {
+    internal::raiseRate(deployment);
+  }
+  World<Policy> world(deployment, seed, settings);
   if (name.scenario == "F14") {
     world.countedService = world.published.deployment.services.back().name;
   }
