Diversions end only when their target stays available; versions are shown while one waits

Cause: near capacity a target flapped between full and free, each flap waited 1.2 s anew and openings were dropped instead of refused; and an announcement that waited for away flows left peers unaware of its version. Change: a diversion ends after 5 s of availability; its version is shown again until it acts; cases no_room and all_shed_in_turn.

--- a/buckthornwing/src/Board/Service.h
+++ b/buckthornwing/src/Board/Service.h
@@ -38,6 +38,7 @@
 {
   TargetIndex target = kNoTargetIndex;
   MilliTime since{};
+  MilliTime availableSince{ -1 }; ///< the target could take flows since then
 };
 
 /// \brief Per-service counts since the start, for status and metrics.
--- a/buckthornwing/src/Handover/BucketStatesController.cpp
+++ b/buckthornwing/src/Handover/BucketStatesController.cpp
@@ -12,6 +12,8 @@
   bucket_flag::kUnvouched;
 /// \brief Instances that trust their view have heard within this time.
 constexpr MilliDuration kAnnouncedAfter{ 1200 };
+/// \brief Meanwhile they are shown the version again this often.
+constexpr MilliDuration kNoticePeriod{ 300 };
 constexpr MilliDuration kAskPeriod{ 300 };
 constexpr MilliDuration kSettlePeriod{ 1000 };
 /// \brief Packed buckets in one part of an announcement.
@@ -86,6 +88,7 @@
                               this->sender.idle(to, BatchPurpose::away);
   if (!knowsAwayFlows) {
     this->onStatesRequest(to);
+    this->notice(to);
     return;
   }
   for (BucketStates& part : this->buildStates()) {
@@ -93,6 +96,29 @@
   }
 }
 
+/// \brief Shows a member the present version, which makes it ask owners until
+/// it has the announcement.
+void
+BucketStatesController::notice(MemberIndex to)
+{
+  this->board.send(to, Acknowledgement{});
+}
+
+/// \brief Shows everyone the version again while a diversion waits to act.
+void
+BucketStatesController::repeatNotices(MilliTime now)
+{
+  if (now >= this->noticeUntil || now < this->nextNoticeAt) {
+    return;
+  }
+  this->nextNoticeAt = now + internal::kNoticePeriod;
+  for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
+    if (this->board.members[i].reachable()) {
+      this->notice(i);
+    }
+  }
+}
+
 void
 BucketStatesController::announce()
 {
@@ -263,6 +289,10 @@
                                MilliTime now)
 {
   Service& service = this->board.services[index];
+  const bool underWay = std::any_of(
+    service.diversions.begin(),
+    service.diversions.end(),
+    [&](const Diversion& diversion) { return diversion.target == target; });
   bool flaggedAny = false;
   for (BucketIndex b = 0; b < service.bucketCount(); ++b) {
     const bool mine = this->board.slots[slotOf(b)].acting();
@@ -272,14 +302,18 @@
       flaggedAny = true;
     }
   }
-  if (!flaggedAny) {
+  if (underWay && !flaggedAny) {
     return;
   }
   std::erase_if(service.diversions, [&](const Diversion& diversion) {
     return diversion.target == target;
   });
   service.diversions.push_back({ target, now });
-  this->announce();
+  if (flaggedAny) {
+    this->announce();
+  }
+  this->noticeUntil = now + internal::kAnnouncedAfter;
+  this->nextNoticeAt = now + internal::kNoticePeriod;
   Event event;
   event.kind = EventKind::diversion;
   event.service = index;
@@ -322,6 +356,7 @@
 {
   this->askForMissing(now);
   this->answerRequests();
+  this->repeatNotices(now);
   if (now >= this->nextSettleAt) {
     this->nextSettleAt = now + internal::kSettlePeriod;
     this->settle(now);
--- a/buckthornwing/src/Handover/BucketStatesController.h
+++ b/buckthornwing/src/Handover/BucketStatesController.h
@@ -69,8 +69,12 @@
   std::vector<MemberIndex> requests; ///< members that wait for an answer
   MilliTime nextSettleAt{};
   MilliTime nextUnvouchedAt{};
+  MilliTime noticeUntil{};
+  MilliTime nextNoticeAt{};
   bool anyUnvouched = true;
 
+  void notice(MemberIndex to);
+  void repeatNotices(MilliTime now);
   std::vector<BucketStates> buildStates() const;
   void applyStates(MemberIndex from, const Assembly& assembly);
   std::vector<bool> unvouchedOwners();
--- a/buckthornwing/src/Placement/PlacementController.cpp
+++ b/buckthornwing/src/Placement/PlacementController.cpp
@@ -11,6 +11,8 @@
 /// \brief After so long no opening that another owner forwarded still comes:
 /// callers give up retransmitting within a minute.
 constexpr MilliDuration kRefusableAfter{ 64000 };
+/// \brief A diversion ends when its target was available for so long.
+constexpr MilliDuration kAvailableFor{ 5000 };
 /// \brief The key of a flow that was hinted is placed anew only this long
 /// after it closed, unless it goes to the same target.
 constexpr std::uint32_t kReuseAfterSeconds = 60;
@@ -168,24 +170,39 @@
   return Placement{ best, Reason::none, false, true };
 }
 
+/// \returns whether a diversion is over: its target went, or has been able to
+/// take flows for long enough that it will not be full again at once.
+bool
+PlacementController::isOver(const Service& service,
+                            Diversion& diversion,
+                            MilliTime now) const
+{
+  if (!this->board.targets[diversion.target].serving()) {
+    return true;
+  }
+  if (!this->load.available(service, diversion.target, now)) {
+    diversion.availableSince = MilliTime{ -1 };
+    return false;
+  }
+  if (diversion.availableSince.ms < 0) {
+    diversion.availableSince = now;
+  }
+  return now - diversion.availableSince >= internal::kAvailableFor;
+}
+
 void
 PlacementController::tick(MilliTime now)
 {
   for (std::size_t i = 0; i < this->board.services.size(); ++i) {
-    const auto index = static_cast<ServiceIndex>(i);
-    const Service& service = this->board.services[i];
+    Service& service = this->board.services[i];
     std::vector<TargetIndex> recovered;
-    for (const Diversion& diversion : service.diversions) {
-      const bool longEnough =
-        this->states.divertedLongEnough(service, diversion.target, now);
-      const bool gone = !this->board.targets[diversion.target].serving();
-      if (longEnough &&
-          (gone || this->load.available(service, diversion.target, now))) {
+    for (Diversion& diversion : service.diversions) {
+      if (this->isOver(service, diversion, now)) {
         recovered.push_back(diversion.target);
       }
     }
     for (const TargetIndex target : recovered) {
-      this->states.endDiversion(index, target);
+      this->states.endDiversion(static_cast<ServiceIndex>(i), target);
     }
   }
 }
--- a/buckthornwing/src/Placement/PlacementController.h
+++ b/buckthornwing/src/Placement/PlacementController.h
@@ -48,6 +48,9 @@
                         MilliTime now,
                         bool& decided) const;
   Placement nowhere(const Slot& slot, Reason reason, MilliTime now) const;
+  bool isOver(const Service& service,
+              Diversion& diversion,
+              MilliTime now) const;
   bool ownershipSettled(const Slot& slot, MilliTime now) const;
 };
 
--- a/measure/Scenarios.h
+++ b/measure/Scenarios.h
@@ -34,8 +34,10 @@
            { "F11", "" },
            { "F12", "all_unhealthy" },
            { "F12", "idle_liar" },
+           { "F12", "all_shed_in_turn" },
            { "F13", "leave_and_drain" },
            { "F13", "death_in_partition" },
+           { "F14", "no_room" },
            { "F14", "calm_alone" },
            { "F14", "calm_beside_flood" } };
 }
@@ -134,6 +136,22 @@
   world.run(40_s);
 }
 
+/// \brief Each target sheds load for a while, two at a time, so that their
+/// buckets are diverted and settle again and again.
+template<typename Policy>
+void
+shedInTurn(World<Policy>& world)
+{
+  const std::size_t count = world.published.targets.size();
+  for (std::size_t i = 0; i < count; ++i) {
+    world.faults.shedding = { targetId(world, i),
+                              targetId(world, (i + 5) % count) };
+    world.run(4_s);
+  }
+  world.faults.shedding.clear();
+  world.run(20_s);
+}
+
 /// \brief 3,000 new flows a second at each instance, short ones.
 inline void
 raiseRate(Deployment& deployment)
@@ -152,7 +170,7 @@
 playScenario(World<Policy>& world, const ScenarioName& name)
 {
   const std::string& scenario = name.scenario;
-  if (name.caseName == "full_rate") {
+  if (name.caseName == "full_rate" || name.caseName == "no_room") {
     world.run(10_s);
     return;
   }
@@ -186,6 +204,9 @@
     world.faults.allLookUnhealthy = true;
   } else if (name.caseName == "idle_liar") {
     world.faults.liar = targetId(world, 1);
+  } else if (name.caseName == "all_shed_in_turn") {
+    shedInTurn(world);
+    return;
   } else if (name.caseName == "leave_and_drain") {
     world.stop(2);
     world.drain(targetId(world, 2));
@@ -211,11 +232,16 @@
 {
   using namespace buckthornwing::literals;
   Deployment deployment = findDeployment(deploymentName);
-  if (name.caseName == "full_rate") {
+  if (name.caseName == "full_rate" || name.caseName == "no_room") {
     internal::raiseRate(deployment);
   }
+  if (name.caseName == "no_room") {
+    // More than the targets' connections, and flows that last.
+    deployment.services.front().flows = 32000;
+    deployment.services.front().meanLifeSeconds = 5;
+  }
   World<Policy> world(deployment, seed, settings);
-  if (name.scenario == "F14") {
+  if (name.caseName.starts_with("calm")) {
     world.countedService = world.published.deployment.services.back().name;
   }
   // Long enough for owners to count their knowledge as complete.
--- a/measure/World.h
+++ b/measure/World.h
@@ -24,7 +24,8 @@
   bool platformDown = false;
   std::string staleText; ///< the platform answers with this if not empty
   bool allLookUnhealthy = false;
-  std::string liar; ///< this target reports that it is idle
+  std::string liar;               ///< this target reports that it is idle
+  std::set<std::string> shedding; ///< these report that they shed load
 };
 
 /// \brief A deployment with callers, instances of one policy and targets.
@@ -377,6 +378,7 @@
         const auto found = byTarget.find(config.id);
         open += found == byTarget.end() ? 0 : found->second;
       }
+      report.shedding = this->faults.shedding.contains(config.id);
       report.connections =
         config.id == this->faults.liar ? 0 : static_cast<std::uint32_t>(open);
       instance.node->onLoadReport(config.id, report, this->now());
--- a/test/model.cpp
+++ b/test/model.cpp
@@ -39,6 +39,8 @@
   kill,
   cut,
   heal,
+  shed,
+  recover,
 };
 
 struct Command
@@ -118,6 +120,13 @@
       case Kind::heal:
         this->world.net.cutZone.clear();
         break;
+      case Kind::shed:
+        this->world.faults.shedding.insert(
+          this->anyTarget(command.argument).id);
+        break;
+      case Kind::recover:
+        this->world.faults.shedding.clear();
+        break;
     }
     this->world.run(MilliDuration{
       static_cast<std::int64_t>(200 + command.argument % 7 * 900) });
@@ -126,10 +135,16 @@
 private:
   std::vector<std::size_t> live;
 
+  TargetConfig& anyTarget(std::size_t argument)
+  {
+    auto& targets = this->world.published.targets;
+    return targets[argument % targets.size()];
+  }
+
   void setState(const Command& command)
   {
     auto& targets = this->world.published.targets;
-    TargetConfig& target = targets[command.argument % targets.size()];
+    TargetConfig& target = this->anyTarget(command.argument);
     const auto serving = std::count_if(
       targets.begin(), targets.end(), [&](const TargetConfig& other) {
         return other.state == TargetState::serving &&
@@ -150,7 +165,7 @@
   void moveLabels(std::size_t argument)
   {
     auto& targets = this->world.published.targets;
-    TargetConfig& target = targets[argument % targets.size()];
+    TargetConfig& target = this->anyTarget(argument);
     auto& tier = target.labels["tier"];
     const bool spare = tier == "spare";
     const auto selected = std::count_if(
@@ -243,13 +258,14 @@
 const std::vector<Kind> kControlFaults{ Kind::advance,      Kind::drain,
                                         Kind::moveLabels,   Kind::join,
                                         Kind::loseMessages, Kind::mendLinks,
-                                        Kind::platformDown, Kind::platformUp };
+                                        Kind::platformDown, Kind::platformUp,
+                                        Kind::shed,         Kind::recover };
 
 const std::vector<Kind> kAllFaults{
   Kind::advance,    Kind::drain, Kind::serve,        Kind::moveLabels,
   Kind::join,       Kind::leave, Kind::loseMessages, Kind::platformDown,
   Kind::platformUp, Kind::pause, Kind::kill,         Kind::cut,
-  Kind::heal
+  Kind::heal,       Kind::shed,  Kind::recover
 };
 
 }
