--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -22,25 +22,16 @@
 /// \brief Dead members pinged in each period, so that a healed partition is
 /// noticed before its packets are misjudged.
 constexpr unsigned kDeadProbes = 4;
-/// \brief Updates that one probe carries at most.
-constexpr std::size_t kMostUpdates = 6;
 /// \brief Instances that are told of a change directly; others by probes.
 constexpr std::size_t kMostDirectAnnouncements = 64;
 /// \brief How often a revision is told again to those that have not got it.
 constexpr MilliDuration kRevisionNoticePeriod{ 250 };
 
-/// \returns how often an update is sent in a fleet of this size.
-unsigned
-retransmissionsFor(std::size_t memberCount)
-{
-  constexpr unsigned kPerDoubling = 3;
-  return kPerDoubling * static_cast<unsigned>(std::bit_width(memberCount + 1));
-}
-
 }
 
 MembershipController::MembershipController(Blackboard& board)
   : board(board)
+  , dissemination(board)
 {
 }
 
@@ -83,53 +74,14 @@
   return index;
 }
 
-MemberUpdate
-MembershipController::describe(MemberIndex index) const
-{
-  const Member& member = this->board.members[index];
-  return MemberUpdate{ member.id,       member.zone,  member.address,
-                       member.liveness, member.phase, member.incarnation };
-}
-
-void
-MembershipController::spread(MemberIndex member)
-{
-  this->updatesToSend[member] =
-    internal::retransmissionsFor(this->board.members.size());
-}
-
-std::vector<MemberUpdate>
-MembershipController::takeUpdates(MemberIndex to)
-{
-  std::vector<MemberUpdate> updates;
-  const bool known =
-    to != kNoMember && this->board.members[to].liveness == Liveness::alive;
-  if (!known) {
-    updates.push_back(this->describe(kSelf));
-  }
-  if (to != kNoMember && this->board.members[to].liveness == Liveness::dead) {
-    updates.push_back(this->describe(to));
-  }
-  auto next = this->updatesToSend.begin();
-  while (next != this->updatesToSend.end() &&
-         updates.size() < internal::kMostUpdates) {
-    if (next->first != to) {
-      updates.push_back(this->describe(next->first));
-    }
-    --next->second;
-    next =
-      next->second == 0 ? this->updatesToSend.erase(next) : std::next(next);
-  }
-  return updates;
-}
-
 void
 MembershipController::sendProbe(MemberIndex to,
                                 ProbeKind kind,
                                 std::uint32_t sequence,
                                 MemberTag subject)
 {
-  this->board.send(to, Probe{ kind, sequence, subject, this->takeUpdates(to) });
+  this->board.send(
+    to, Probe{ kind, sequence, subject, this->dissemination.take(to) });
 }
 
 void
@@ -138,9 +90,10 @@
   if (endpoint == this->board.self().address) {
     return;
   }
-  const Probe probe{
-    ProbeKind::ping, this->nextSequence++, 0, { this->describe(kSelf) }
-  };
+  const Probe probe{ ProbeKind::ping,
+                     this->nextSequence++,
+                     0,
+                     { describeMember(this->board.self()) } };
   this->board.outbox.messages.push_back(
     { endpoint, { this->board.header(), probe } });
 }
@@ -180,7 +133,7 @@
   }
   this->ownersChanged =
     this->ownersChanged || wasReachable != member.reachable();
-  this->spread(index);
+  this->dissemination.spread(index);
   constexpr const char* kNames[] = { "unknown", "alive", "suspect", "dead" };
   Event event;
   event.kind = EventKind::member;
@@ -233,7 +186,7 @@
   // Datagrams overtake each other; within an incarnation all of these grow.
   if (header.phase > member.phase) {
     member.phase = header.phase;
-    this->spread(index);
+    this->dissemination.spread(index);
   }
   member.revision = std::max(member.revision, header.revision);
   member.statesVersion = std::max(member.statesVersion, header.statesVersion);
@@ -389,7 +342,7 @@
 void
 MembershipController::announceSelf(MilliTime /*now*/)
 {
-  this->spread(kSelf);
+  this->dissemination.spread(kSelf);
   std::size_t sent = 0;
   for (MemberIndex i = 1; i < this->board.memberCount(); ++i) {
     const Member& member = this->board.members[i];
--- a/buckthornwing/src/Membership/MembershipController.h
+++ b/buckthornwing/src/Membership/MembershipController.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_MEMBERSHIP_CONTROLLER_H
 
 #include "../Board/Blackboard.h"
+#include "Dissemination.h"
 #include "Lifecycle.h"
 
 #include <map>
@@ -74,11 +75,11 @@
   };
 
   Blackboard& board;
+  Dissemination dissemination;
   Lifecycle lifecycle;
   std::vector<MemberIndex> round; ///< members still to probe this round
   std::map<std::uint32_t, PendingProbe> pending;
   std::map<std::uint32_t, ForwardedProbe> forwarded;
-  std::map<MemberIndex, unsigned> updatesToSend; ///< and how often yet
   std::uint32_t nextSequence = 1;
   MilliTime nextProbeAt{};
   MilliTime nextRevisionNoticeAt{};
@@ -87,9 +88,6 @@
   bool healed = false;
 
   MemberIndex addMember(const MemberUpdate& update);
-  MemberUpdate describe(MemberIndex member) const;
-  void spread(MemberIndex member);
-  std::vector<MemberUpdate> takeUpdates(MemberIndex to);
   void sendProbe(MemberIndex to,
                  ProbeKind kind,
                  std::uint32_t sequence,
--- a/measure/World.h
+++ b/measure/World.h
@@ -1,9 +1,11 @@
 #ifndef BUCKTHORNWING_MEASURE_WORLD_H
 #define BUCKTHORNWING_MEASURE_WORLD_H
 
+#include "CallerFlow.h"
 #include "Deployment.h"
 #include "FakeNetwork.h"
 #include "Node.h"
+#include "OpenFlows.h"
 #include "Result.h"
 
 #include <Core>
@@ -165,7 +167,7 @@
   {
     this->measuring = true;
     this->measuredFrom = this->now();
-    this->result.openFlows = this->openCount;
+    this->result.openFlows = this->open.total();
     this->sampleImbalance();
   }
 
@@ -220,38 +222,16 @@
     MilliTime pausedUntil{};
   };
 
-  /// \brief A caller's flow, and what targets know of it.
-  struct Flow
-  {
-    FlowKey key;
-    std::size_t service = 0;
-    std::string zone; ///< the caller's side of a partition
-    std::string target;
-    bool opened = false;      ///< a target has it
-    bool established = false; ///< the caller was answered
-    bool counted = true;
-    bool over = false;
-    bool closing = false;
-    bool floods = false;
-    bool excused = false; ///< a partition kept it from its target
-    MilliTime askedAt{};
-    MilliTime closeAt{};
-    MilliDuration wait{};
-    std::uint64_t request = 0; ///< number of the packet that awaits an answer
-    bool answered = true;
-  };
-
   std::vector<Instance> instances;
   std::map<std::uint16_t, std::size_t> instanceAt;
-  std::deque<Flow> flows;
+  std::deque<CallerFlow> flows;
   std::map<std::string, std::set<std::string>> everSelected;
-  std::map<std::string, std::map<std::string, std::int64_t>> openByTarget;
+  OpenFlows open;
   std::map<std::string, MilliTime> drainedAt;
   std::map<std::uint64_t, MilliTime> publishedAt;
   std::string text = this->published.text();
   PolicySettings policySettings;
   std::uint32_t nextCaller = 0;
-  std::uint64_t openCount = 0;
   std::uint64_t flowsCounted = 0;
   bool measuring = false;
   MilliTime measuredFrom{};
@@ -373,14 +353,9 @@
       LoadReport report;
       report.reachable = this->net.reachable(instance.zone, config.zone);
       report.healthy = report.reachable && !this->faults.allLookUnhealthy;
-      std::int64_t open = 0;
-      for (auto& [service, byTarget] : this->openByTarget) {
-        const auto found = byTarget.find(config.id);
-        open += found == byTarget.end() ? 0 : found->second;
-      }
       report.shedding = this->faults.shedding.contains(config.id);
-      report.connections =
-        config.id == this->faults.liar ? 0 : static_cast<std::uint32_t>(open);
+      const bool lies = config.id == this->faults.liar;
+      report.connections = lies ? 0 : this->open.atTarget(config.id);
       instance.node->onLoadReport(config.id, report, this->now());
     }
   }
@@ -440,7 +415,7 @@
 
   // --- packets ---------------------------------------------------------
 
-  std::size_t pickInstance(const Flow& flow)
+  std::size_t pickInstance(const CallerFlow& flow)
   {
     std::vector<std::size_t> choices;
     for (std::size_t i = 0; i < this->instances.size(); ++i) {
@@ -456,7 +431,7 @@
 
   void sendPacket(std::size_t number)
   {
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     const std::size_t index = this->pickInstance(flow);
     if (index == this->instances.size()) {
       return;
@@ -466,19 +441,6 @@
       delay, [this, number, index] { this->packetAtInstance(number, index); });
   }
 
-  std::vector<std::uint8_t> packetOf(std::size_t number) const
-  {
-    const Flow& flow = this->flows[number];
-    const TcpFlags flags{ .syn = !flow.established,
-                          .ack = flow.established,
-                          .fin = flow.closing };
-    // The payload tells the target which flow and request this is.
-    std::array<std::uint8_t, 16> payload{};
-    const std::array<std::uint64_t, 2> words{ number, flow.request };
-    std::memcpy(payload.data(), words.data(), payload.size());
-    return buildTcpPacket(flow.key, flags, payload);
-  }
-
   void packetAtInstance(std::size_t number, std::size_t index)
   {
     Instance& instance = this->instances[index];
@@ -491,7 +453,8 @@
         [this, number, index] { this->packetAtInstance(number, index); });
       return;
     }
-    const std::vector<std::uint8_t> packet = this->packetOf(number);
+    const std::vector<std::uint8_t> packet =
+      buildCallerPacket(this->flows[number], number);
     NodeDecision decision = instance.node->onPacket(packet, this->now());
     if (this->measuring) {
       ++this->packets;
@@ -513,14 +476,6 @@
     }
   }
 
-  static std::array<std::uint64_t, 2> readPayload(PacketBytes packet)
-  {
-    std::array<std::uint64_t, 2> words{};
-    std::memcpy(
-      words.data(), packet.data() + packet.size() - sizeof words, sizeof words);
-    return words;
-  }
-
   void carryOut(std::size_t index, NodeDecision decision, PacketBytes packet)
   {
     Instance& instance = this->instances[index];
@@ -528,8 +483,8 @@
       this->sendMessage(index, decision.relayed);
       return;
     }
-    const auto words = readPayload(packet);
-    const std::size_t number = words[0];
+    const PacketNote note = readNote(packet);
+    const std::size_t number = note.flow;
     if (decision.outcome == Outcome::drop) {
       this->noteDrop(number, decision.reason);
     } else if (decision.outcome == Outcome::forward) {
@@ -541,7 +496,7 @@
         this->flows[number].excused = true;
       }
       const std::string id(decision.target);
-      const std::uint64_t request = words[1];
+      const std::uint64_t request = note.request;
       this->net.carry(
         instance.zone, config->zone, {}, [this, number, id, request] {
           this->packetAtTarget(number, id, request);
@@ -563,7 +518,7 @@
 
   void refused(std::size_t number)
   {
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     if (flow.over) {
       return;
     }
@@ -585,7 +540,7 @@
                       const std::string& id,
                       std::uint64_t request)
   {
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     if (flow.over) {
       return;
     }
@@ -613,12 +568,11 @@
     });
   }
 
-  void openAtTarget(Flow& flow, const std::string& id)
+  void openAtTarget(CallerFlow& flow, const std::string& id)
   {
     flow.opened = true;
     flow.target = id;
-    ++this->openByTarget[this->services()[flow.service].name][id];
-    ++this->openCount;
+    this->open.open(this->services()[flow.service].name, id);
     constexpr MilliDuration kGrace{ 3000 };
     const auto drained = this->drainedAt.find(id);
     const bool late = drained != this->drainedAt.end() &&
@@ -628,7 +582,7 @@
 
   void answerAtCaller(std::size_t number, std::uint64_t request)
   {
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     if (flow.over || flow.answered || request != flow.request) {
       return;
     }
@@ -655,19 +609,13 @@
   {
     const ServiceLoad& load = this->services()[service];
     const auto& zones = this->published.deployment.zones;
-    Flow flow;
+    CallerFlow flow;
     flow.service = service;
     flow.floods = floods;
     flow.zone = zones[this->net.random.below(zones.size())];
-    const std::uint32_t address = 0x0a000000U + ++this->nextCaller;
-    flow.key.source.address = *parseIpAddress("10.0.0.0");
-    for (unsigned i = 0; i < 4; ++i) {
-      flow.key.source.address.bytes[12 + i] =
-        static_cast<std::uint8_t>(address >> (24U - 8U * i));
-    }
-    flow.key.source.port =
+    const auto port =
       static_cast<std::uint16_t>(1024 + this->net.random.below(60000));
-    flow.key.destination = Endpoint{ *parseIpAddress(load.address), 443 };
+    flow.key = makeCallerKey(++this->nextCaller, port, load.address);
     flow.counted =
       this->countedService.empty() || this->countedService == load.name;
     const double life =
@@ -683,7 +631,7 @@
   {
     constexpr MilliDuration kDataWait{ 300 };
     constexpr MilliDuration kOpeningWait{ 1000 };
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     if (flow.over) {
       return;
     }
@@ -708,7 +656,7 @@
   {
     constexpr MilliDuration kBrokenAfter{ 30000 };
     constexpr std::int64_t kMostWaitMs = 4000;
-    Flow& flow = this->flows[number];
+    CallerFlow& flow = this->flows[number];
     if (flow.over || flow.answered || flow.request != request) {
       return;
     }
@@ -725,7 +673,7 @@
     this->checkLater(number);
   }
 
-  void breakFlow(Flow& flow)
+  void breakFlow(CallerFlow& flow)
   {
     if (flow.counted) {
       ++(flow.excused ? this->result.unreachable : this->result.broken);
@@ -734,16 +682,15 @@
     this->replaceFlow(flow);
   }
 
-  void endFlow(Flow& flow)
+  void endFlow(CallerFlow& flow)
   {
     flow.over = true;
     if (flow.opened) {
-      --this->openByTarget[this->services()[flow.service].name][flow.target];
-      --this->openCount;
+      this->open.close(this->services()[flow.service].name, flow.target);
     }
   }
 
-  void replaceFlow(const Flow& flow)
+  void replaceFlow(const CallerFlow& flow)
   {
     if (flow.floods) {
       return;
@@ -756,38 +703,13 @@
 
   // --- figures ---------------------------------------------------------
 
-  double imbalanceOf(const ServiceLoad& load) const
-  {
-    const auto found = this->openByTarget.find(load.name);
-    if (found == this->openByTarget.end()) {
-      return 1;
-    }
-    double most = 0;
-    double sum = 0;
-    double count = 0;
-    for (const TargetConfig& config : this->published.targets) {
-      const bool serving = config.state == TargetState::serving &&
-                           config.labels.at("app") == load.name &&
-                           config.labels.at("tier") != "spare";
-      if (!serving) {
-        continue;
-      }
-      const auto open = found->second.find(config.id);
-      const double flowsOpen =
-        open == found->second.end() ? 0 : static_cast<double>(open->second);
-      most = std::max(most, flowsOpen);
-      sum += flowsOpen;
-      ++count;
-    }
-    return sum == 0 ? 1 : most * count / sum;
-  }
-
   void sampleImbalance()
   {
     double worst = 1;
     for (const ServiceLoad& load : this->services()) {
       if (this->countedService.empty() || this->countedService == load.name) {
-        worst = std::max(worst, this->imbalanceOf(load));
+        worst =
+          std::max(worst, this->open.imbalance(this->published, load.name));
       }
     }
     this->imbalanceSum += worst;
