Placement adds peers' likely choices, not the net change of all flows

Cause: the net change of own flows, times the fleet, was mostly noise of flows that the table placed. Change: the estimate is the plain sum of counts; choosing adds own choices by load since the last summary for each peer.

--- a/buckthornwing/src/Board/Target.h
+++ b/buckthornwing/src/Board/Target.h
@@ -35,10 +35,10 @@
   MilliTime servingSince{}; ///< for the slow start
   LoadReport report;
   MilliTime reportedAt{ -1 };
-  unsigned failedReports = 0;  ///< unhealthy or unreachable ones in a row
-  std::uint32_t ownFlows = 0;  ///< open flows that this instance owns
-  std::uint32_t peerFlows = 0; ///< open flows that peers said they own
-  std::uint32_t ownFlowsAtSummary = 0; ///< own ones when last told to peers
+  unsigned failedReports = 0;     ///< unhealthy or unreachable ones in a row
+  std::uint32_t ownFlows = 0;     ///< open flows that this instance owns
+  std::uint32_t peerFlows = 0;    ///< open flows that peers said they own
+  std::uint32_t placedByLoad = 0; ///< own choices since the last summary
 
   bool serving() const
   {
--- a/buckthornwing/src/Forwarding/ForwardingController.cpp
+++ b/buckthornwing/src/Forwarding/ForwardingController.cpp
@@ -211,7 +211,9 @@
   entry.seenSecond = entry.placedSecond;
   this->board.flows.insert_or_assign(request.flow, entry);
   this->care.noteOwned(request.flow, request.service);
-  ++this->board.targets[placement.target].ownFlows;
+  Target& target = this->board.targets[placement.target];
+  ++target.ownFlows;
+  target.placedByLoad += placement.byLoad ? 1 : 0;
   Service& service = this->board.services[request.service];
   ++service.ownFlows;
   ++service.counters.placed;
--- a/buckthornwing/src/Load/LoadController.cpp
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -126,7 +126,7 @@
   for (const TargetIndex index : this->board.publishedTargets) {
     Target& target = this->board.targets[index];
     counts.push_back(target.ownFlows);
-    target.ownFlowsAtSummary = target.ownFlows;
+    target.placedByLoad = 0;
   }
   std::vector<std::uint32_t> serviceCounts;
   for (const ServiceIndex index : this->board.publishedServices) {
@@ -157,12 +157,7 @@
 LoadController::estimate(TargetIndex index, MilliTime now) const
 {
   const Target& target = this->board.targets[index];
-  // Peers' flows have changed about as this instance's own did since they
-  // last reported.
-  const auto peers = static_cast<double>(this->board.ownerCount() - 1);
-  const double own = target.ownFlows;
-  const double change = own - target.ownFlowsAtSummary;
-  const double counted = own + std::max(0.0, target.peerFlows + change * peers);
+  const double counted = target.ownFlows + target.peerFlows;
   const bool fresh = target.reportedAt.ms >= 0 &&
                      now - target.reportedAt < internal::kReportFresh;
   const double reported = fresh ? target.report.connections : 0;
@@ -181,7 +176,12 @@
 double
 LoadController::placementCost(TargetIndex index, MilliTime now) const
 {
-  return (this->estimate(index, now) + 1) / this->warmth(index, now);
+  // Peers see the same summaries, so each has probably made the same choices
+  // as this instance since.
+  const auto owners = static_cast<double>(this->board.ownerCount());
+  const Target& target = this->board.targets[index];
+  const double unseen = target.placedByLoad * (owners - 1);
+  return (this->estimate(index, now) + unseen + 1) / this->warmth(index, now);
 }
 
 bool
--- a/buckthornwing/src/Load/LoadController.h
+++ b/buckthornwing/src/Load/LoadController.h
@@ -33,7 +33,8 @@
   /// \returns the flows that the target is estimated to have open.
   double estimate(TargetIndex target, MilliTime now) const;
 
-  /// \returns the estimate, raised while the target is cold.
+  /// \returns the estimate with what peers are likely to add before they are
+  /// heard, raised while the target is cold.
   double placementCost(TargetIndex target, MilliTime now) const;
 
   /// \returns from 0 (just started) to 1 (warm).
