Regression tests of shrunk sequences; the fabric stand-in's instances apart

Cause: shrunk failures had no tests of their own, the fabric stand-in was one long file, and the label generator gave up at large sizes. Change: four named sequences with their seeds; FabricInstances; labels from pairs.

--- a/standin/fabric.cpp
+++ b/standin/fabric.cpp
@@ -3,6 +3,8 @@
 /// to a random healthy instance, and checks that all answers of a flow come
 /// from one target that its service selects.
 
+#include "FabricInstances.h"
+
 #include <Config>
 #include <Core>
 #include <Io>
@@ -44,16 +46,6 @@
   std::uint64_t seed = 0;
 };
 
-/// \brief An instance as the fabric sees it.
-struct Instance
-{
-  std::string id;
-  Endpoint data;
-  Endpoint operators;
-  bool healthy = false;
-  bool asked = false;
-};
-
 /// \brief A service as callers use it, with every target it ever selected.
 struct CalledService
 {
@@ -122,6 +114,7 @@
   Fabric(boost::asio::io_context& context, Plan plan)
     : context(context)
     , plan(std::move(plan))
+    , instances(context, this->plan.instancesFile)
     , socket(context)
     , timer(context)
     , random{ this->plan.seed }
@@ -155,6 +148,7 @@
 private:
   boost::asio::io_context& context;
   Plan plan;
+  standin::FabricInstances instances;
   UdpSocket socket;
   boost::asio::steady_timer timer;
   Random random;
@@ -163,8 +157,6 @@
   MilliTime nextDocumentAt{};
   MilliTime nextLineAt{};
   std::string documentText;
-  std::string instancesText;
-  std::vector<Instance> instances;
   std::vector<CalledService> services;
   std::unordered_map<std::string, CallerFlow> flows;
   std::uint32_t nextCaller = 0;
@@ -178,28 +170,6 @@
     };
   }
 
-  void readInstances()
-  {
-    const auto text = readFile(this->plan.instancesFile);
-    if (!text || text.value() == this->instancesText) {
-      return;
-    }
-    this->instancesText = text.value();
-    std::istringstream lines(this->instancesText);
-    std::vector<Instance> next;
-    std::string id;
-    std::string data;
-    std::string operators;
-    while (lines >> id >> data >> operators) {
-      const auto dataEndpoint = parseEndpoint(data);
-      const auto operatorsEndpoint = parseEndpoint(operators);
-      if (dataEndpoint && operatorsEndpoint) {
-        next.push_back({ id, *dataEndpoint, *operatorsEndpoint });
-      }
-    }
-    this->instances = std::move(next);
-  }
-
   void readDocument()
   {
     const auto text = readFile(this->plan.documentFile);
@@ -239,41 +209,17 @@
     }
   }
 
-  void checkHealth()
-  {
-    for (Instance& instance : this->instances) {
-      if (instance.asked) {
-        continue;
-      }
-      instance.asked = true;
-      const std::string id = instance.id;
-      httpGet(this->context,
-              instance.operators,
-              "/healthz",
-              MilliDuration{ 500 },
-              4096,
-              [this, id](const HttpResult& result) {
-                for (Instance& known : this->instances) {
-                  if (known.id == id) {
-                    known.asked = false;
-                    known.healthy = result.status == 200;
-                  }
-                }
-              });
-    }
-  }
-
   void step()
   {
     const MilliTime time = this->now();
     if (time >= this->nextDocumentAt) {
       this->nextDocumentAt = time + kDocumentPeriod;
       this->readDocument();
-      this->readInstances();
+      this->instances.read();
     }
     if (time >= this->nextHealthAt) {
       this->nextHealthAt = time + kHealthPeriod;
-      this->checkHealth();
+      this->instances.check();
     }
     this->openFlows(time);
     this->driveFlows(time);
@@ -293,20 +239,9 @@
     });
   }
 
-  std::vector<const Instance*> healthyInstances() const
-  {
-    std::vector<const Instance*> healthy;
-    for (const Instance& instance : this->instances) {
-      if (instance.healthy) {
-        healthy.push_back(&instance);
-      }
-    }
-    return healthy;
-  }
-
   void openFlows(MilliTime time)
   {
-    if (this->healthyInstances().empty() || this->services.empty()) {
+    if (this->instances.healthyCount() == 0 || this->services.empty()) {
       return;
     }
     // The flows are opened over three seconds, then kept at that number.
@@ -345,14 +280,14 @@
 
   void send(CallerFlow& flow, MilliTime time)
   {
-    const auto healthy = this->healthyInstances();
-    if (healthy.empty()) {
+    const standin::FabricInstance* instance =
+      this->instances.pick(this->random);
+    if (instance == nullptr) {
       return;
     }
     TcpFlags flags{ .syn = !flow.opened, .ack = flow.opened };
     flags.fin = flow.closing;
     const auto packet = buildTcpPacket(flow.key, flags, {});
-    const Instance* instance = healthy[this->random.below(healthy.size())];
     this->socket.send(packet, instance->data);
     ++this->totals.packets;
     flow.sendAt = time + flow.retransmission;
@@ -475,7 +410,7 @@
   void printProgress(MilliTime time) const
   {
     std::cout << "t=" << (time - this->startedAt).ms / 1000
-              << "s instances=" << this->healthyInstances().size()
+              << "s instances=" << this->instances.healthyCount()
               << " open=" << this->flows.size()
               << " packets=" << this->totals.packets
               << " retransmitted=" << this->totals.retransmitted
--- a/test/config.cpp
+++ b/test/config.cpp
@@ -48,6 +48,16 @@
     });
 }
 
+rc::Gen<Labels>
+anyLabels()
+{
+  // Pairs, since so few distinct keys can't fill a map of a given size.
+  return rc::gen::map(
+    rc::gen::container<std::vector<std::pair<std::string, std::string>>>(
+      rc::gen::pair(anyWord(), anyWord())),
+    [](const auto& pairs) { return Labels(pairs.begin(), pairs.end()); });
+}
+
 /// \brief The naive meaning of a requirement, straight from its definition.
 bool
 naiveHolds(const SelectorRequirement& requirement, const Labels& labels)
@@ -148,9 +158,7 @@
     Selector selector;
     selector.requirements = *rc::gen::nonEmpty(
       rc::gen::container<std::vector<SelectorRequirement>>(anyRequirement()));
-    const auto labels = *rc::gen::container<std::map<std::string, std::string>>(
-      anyWord(), anyWord());
-    const Labels given(labels.begin(), labels.end());
+    const Labels given = *anyLabels();
     const Selector parsed = selectorOf(formatSelector(selector));
     const bool naive = std::all_of(
       selector.requirements.begin(),
@@ -284,10 +292,7 @@
     for (int i = 0; i < count; ++i) {
       TargetConfig config;
       config.id = "t-" + std::to_string(i);
-      const auto labels =
-        *rc::gen::container<std::map<std::string, std::string>>(anyWord(),
-                                                                anyWord());
-      config.labels = Labels(labels.begin(), labels.end());
+      config.labels = *anyLabels();
       configuration.targets.push_back(std::move(config));
     }
     ServiceConfig config;
--- a/test/model.cpp
+++ b/test/model.cpp
@@ -332,3 +332,67 @@
     }
   }
 }
+
+// Sequences that once broke a flow, shrunk by RapidCheck, with their seeds.
+
+namespace {
+
+void
+assertUnbroken(std::uint64_t seed,
+               bool longRunning,
+               const std::vector<Command>& commands)
+{
+  const Result result = playAll(seed, longRunning, commands);
+  cr_assert_eq(result.broken, 0);
+  cr_assert_eq(result.ranTwice, 0);
+  cr_assert_eq(result.misdelivered, 0);
+}
+
+}
+
+/// \brief A joiner believed an instance that no longer owned the bucket.
+Test(model, regression_drain_then_two_joins)
+{
+  assertUnbroken(62,
+                 false,
+                 { { Kind::serve, 0 },
+                   { Kind::drain, 3 },
+                   { Kind::join, 1 },
+                   { Kind::join, 0 } });
+}
+
+/// \brief A bucket moved twice between two revisions that were adopted.
+Test(model, regression_changes_between_adopted_revisions)
+{
+  assertUnbroken(18,
+                 true,
+                 { { Kind::mendLinks, 5 },
+                   { Kind::platformUp, 5 },
+                   { Kind::mendLinks, 5 },
+                   { Kind::drain, 1 },
+                   { Kind::join, 10 },
+                   { Kind::moveLabels, 11 },
+                   { Kind::join, 0 } });
+}
+
+/// \brief An announcement overtook the away flows on their way to a joiner.
+Test(model, regression_leave_move_join_drain)
+{
+  assertUnbroken(0,
+                 true,
+                 { { Kind::leave, 0 },
+                   { Kind::moveLabels, 3 },
+                   { Kind::join, 0 },
+                   { Kind::drain, 0 } });
+}
+
+/// \brief The same, with a join between the changes.
+Test(model, regression_leave_join_move_join)
+{
+  assertUnbroken(978,
+                 true,
+                 { { Kind::leave, 0 },
+                   { Kind::join, 5 },
+                   { Kind::moveLabels, 9 },
+                   { Kind::join, 0 } });
+}
