The daemon reads the platform's list of instances

Cause: /v1/instances was not read; only the configuration's instances were contacted. Change: watchers read the list every 10 s as a hint of whom to contact; malformed lists are ignored whole.

--- a/buckthornwing/src/Config/ParseConfiguration.cpp
+++ b/buckthornwing/src/Config/ParseConfiguration.cpp
@@ -37,6 +37,22 @@
     return std::move(this->result);
   }
 
+  std::vector<InstanceConfig> parseList(std::string_view text)
+  {
+    boost::json::value list;
+    if (!this->readJson(text, list)) {
+      return {};
+    }
+    const boost::json::value document =
+      boost::json::object{ { "instances", std::move(list) } };
+    JsonReader reader(document, "$", this->result.fatal);
+    this->parseInstances(reader);
+    if (!this->result.fatal.empty()) {
+      return {};
+    }
+    return std::move(this->result.configuration.instances);
+  }
+
 private:
   ParsedConfiguration result;
 
@@ -297,6 +313,12 @@
 
 }
 
+std::vector<InstanceConfig>
+parseInstanceList(std::string_view text)
+{
+  return internal::DocumentParser().parseList(text);
+}
+
 ParsedConfiguration
 parseConfiguration(std::string_view text)
 {
--- a/buckthornwing/src/Config/ParseConfiguration.h
+++ b/buckthornwing/src/Config/ParseConfiguration.h
@@ -28,6 +28,11 @@
 ParsedConfiguration
 parseConfiguration(std::string_view text);
 
+/// \brief Parses the platform's list of instances, a JSON array.
+/// \returns the instances, none if any is malformed
+std::vector<InstanceConfig>
+parseInstanceList(std::string_view text);
+
 }
 
 #endif
--- a/buckthornwing/src/Io/EntryServer.cpp
+++ b/buckthornwing/src/Io/EntryServer.cpp
@@ -1,6 +1,8 @@
 #include "EntryServer.h"
 
+#include "../Config/ParseConfiguration.h"
 #include "../Core/PacketBuilder.h"
+#include "HttpClient.h"
 
 #include <chrono>
 
@@ -9,6 +11,9 @@
 
 /// \brief Time between two status requests to one target.
 constexpr MilliDuration kPollPeriod{ 1000 };
+/// \brief Time between two readings of the platform's list of instances.
+constexpr MilliDuration kListPeriod{ 10000 };
+constexpr MilliDuration kListWithin{ 3000 };
 /// \brief Peer counters start above every earlier run's of the same id.
 constexpr unsigned kCounterShift = 20;
 
@@ -204,6 +209,10 @@
     this->nextPollAt = time + internal::kPollPeriod;
     this->pollTargets();
   }
+  if (time >= this->nextListAt && this->entry->shouldWatchPlatform(time)) {
+    this->nextListAt = time + internal::kListPeriod;
+    this->readInstanceList();
+  }
   if (this->stopping && this->entry->readyToStop(time)) {
     this->finishStop();
     return;
@@ -223,6 +232,22 @@
   }
 }
 
+void
+EntryServer::readInstanceList()
+{
+  httpGet(this->context,
+          this->settings.configurationService,
+          "/v1/instances",
+          internal::kListWithin,
+          kMostDocumentBytes,
+          [this](const HttpResult& result) {
+            constexpr unsigned kOk = 200;
+            if (result.status == kOk) {
+              this->entry->onInstanceList(parseInstanceList(result.body));
+            }
+          });
+}
+
 void
 EntryServer::requestStop()
 {
--- a/buckthornwing/src/Io/EntryServer.h
+++ b/buckthornwing/src/Io/EntryServer.h
@@ -49,6 +49,7 @@
   HostCounters counters;
   DurationStatistics tickTimes;
   MilliTime nextPollAt{};
+  MilliTime nextListAt{};
   bool stopping = false;
 
   MilliTime now() const;
@@ -61,6 +62,7 @@
   void scheduleTick();
   void tick();
   void pollTargets();
+  void readInstanceList();
   void finishStop();
   void serve(const std::string& target, const HttpServer::Respond& respond);
   void updateHostCounters();
--- a/test/config.cpp
+++ b/test/config.cpp
@@ -302,3 +302,14 @@
     RC_ASSERT(index.select(config) == selectTargets(configuration, config));
   }));
 }
+
+Test(instance_list, good_lists_are_read_and_others_are_not)
+{
+  const auto list = parseInstanceList(
+    R"([{"id":"entry-1","zone":"a","peer_address":"127.0.0.1:7001","state":"leaving"}])");
+  cr_assert_eq(list.size(), 1);
+  cr_assert(list[0].leaving);
+  for (const char* text : { "", "{}", "[1]", R"([{"id":"entry-1"}])" }) {
+    cr_assert(parseInstanceList(text).empty(), "%s", text);
+  }
+}
