A target's limit is held by the expected net change, choices by the plain counts

Change: the limit compares the counts with the net change extrapolated; choosing keeps the plain counts.

--- a/buckthornwing/src/Board/Target.h
+++ b/buckthornwing/src/Board/Target.h
@@ -39,6 +39,7 @@
   std::uint32_t ownFlows = 0;     ///< open flows that this instance owns
   std::uint32_t peerFlows = 0;    ///< open flows that peers said they own
   std::uint32_t placedByLoad = 0; ///< own choices since the last summary
+  std::uint32_t ownFlowsAtSummary = 0;
 
   bool serving() const
   {
--- a/buckthornwing/src/Load/LoadController.cpp
+++ b/buckthornwing/src/Load/LoadController.cpp
@@ -127,6 +127,7 @@
     Target& target = this->board.targets[index];
     counts.push_back(target.ownFlows);
     target.placedByLoad = 0;
+    target.ownFlowsAtSummary = target.ownFlows;
   }
   std::vector<std::uint32_t> serviceCounts;
   for (const ServiceIndex index : this->board.publishedServices) {
@@ -164,6 +165,19 @@
   return std::max(counted, reported);
 }
 
+double
+LoadController::expectedFlows(TargetIndex index, MilliTime now) const
+{
+  // Peers' flows have changed about as this instance's own did since they
+  // last reported. That is too noisy to choose by, but keeps to the limit.
+  const Target& target = this->board.targets[index];
+  const auto peers = static_cast<double>(this->board.ownerCount() - 1);
+  const double own = target.ownFlows;
+  const double change = own - target.ownFlowsAtSummary;
+  const double counted = own + std::max(0.0, target.peerFlows + change * peers);
+  return std::max(counted, this->estimate(index, now));
+}
+
 double
 LoadController::warmth(TargetIndex index, MilliTime now) const
 {
@@ -215,7 +229,7 @@
   }
   const Target& target = this->board.targets[index];
   const std::uint32_t most = target.config.maxConnections;
-  const bool full = most > 0 && this->estimate(index, now) >= most;
+  const bool full = most > 0 && this->expectedFlows(index, now) >= most;
   if (!target.serving() || full) {
     return false;
   }
--- a/buckthornwing/src/Load/LoadController.h
+++ b/buckthornwing/src/Load/LoadController.h
@@ -33,6 +33,10 @@
   /// \returns the flows that the target is estimated to have open.
   double estimate(TargetIndex target, MilliTime now) const;
 
+  /// \returns the estimate with what has changed at peers since they were
+  /// heard; compared with a target's limit.
+  double expectedFlows(TargetIndex target, MilliTime now) const;
+
   /// \returns the estimate with what peers are likely to add before they are
   /// heard, raised while the target is cold.
   double placementCost(TargetIndex target, MilliTime now) const;
