One place defers what a paused instance can't take; a parser property that can fail

Cause: World.h had the same deferral twice, and a property of the packet parser asserted nothing of its result. Change: World::asleep(); a packet that parses must have a flow whose text is read back.

--- a/measure/World.h
+++ b/measure/World.h
@@ -273,6 +273,16 @@
     return instance.alive && this->now() >= instance.pausedUntil;
   }
 
+  /// \returns whether an instance can't take something now. One that pauses
+  /// takes it from its socket when it wakes.
+  bool asleep(const Instance& instance, FakeNetwork::Action later)
+  {
+    if (instance.alive && !this->running(instance)) {
+      this->net.after(instance.pausedUntil - this->now(), std::move(later));
+    }
+    return !this->running(instance);
+  }
+
   void tickLater(std::size_t index, std::uint64_t delayMs)
   {
     this->net.after(MilliDuration{ static_cast<std::int64_t>(delayMs) },
@@ -395,14 +405,9 @@
   void receive(std::size_t index, const std::shared_ptr<PeerMessage>& message)
   {
     Instance& instance = this->instances[index];
-    if (!instance.alive) {
-      return;
-    }
-    if (!this->running(instance)) {
-      // It waits in the socket until the process wakes.
-      this->net.after(
-        instance.pausedUntil - this->now(),
-        [this, index, message] { this->receive(index, message); });
+    if (this->asleep(instance, [this, index, message] {
+          this->receive(index, message);
+        })) {
       return;
     }
     const auto decision = instance.node->onPeerMessage(*message, this->now());
@@ -444,13 +449,9 @@
   void packetAtInstance(std::size_t number, std::size_t index)
   {
     Instance& instance = this->instances[index];
-    if (!instance.alive) {
-      return;
-    }
-    if (!this->running(instance)) {
-      this->net.after(
-        instance.pausedUntil - this->now(),
-        [this, number, index] { this->packetAtInstance(number, index); });
+    if (this->asleep(instance, [this, number, index] {
+          this->packetAtInstance(number, index);
+        })) {
       return;
     }
     const std::vector<std::uint8_t> packet =
--- a/test/core.cpp
+++ b/test/core.cpp
@@ -106,7 +106,10 @@
   cr_assert(rc::check("arbitrary bytes", [] {
     auto bytes = *rc::gen::arbitrary<std::vector<std::uint8_t>>();
     const ParsedPacket packet = parsePacket(bytes);
-    RC_ASSERT(!parseFaultName(packet.fault).empty());
+    // Whatever is taken as a packet has a flow that can be written and read.
+    if (packet.fault == ParseFault::none) {
+      RC_ASSERT(parseFlowKey(formatFlowKey(packet.key)) == packet.key);
+    }
   }));
 }
 
