The platform's daemon: flow tags, registry, routes, adapter and a first placement

The platform returns a 4-byte tag in every packet of a flow, so any instance can forward any packet from the packet and its view alone. This is the whole path, thin: no peers, no suspicion, no refusal by load.

--- a/buckthornwing/src/Io/MetricsText.cpp
+++ b/buckthornwing/src/Io/MetricsText.cpp
@@ -1,6 +1,7 @@
 #include "MetricsText.h"
 
 #include "../Peer/PeerCodec.h"
+#include "MetricsWriter.h"
 
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -19,53 +20,6 @@
                                                     accumulators::tag::mean,
                                                     accumulators::tag::max>>;
 
-/// \brief Writes metrics with their help and type lines.
-class MetricsWriter
-{
-public:
-  void family(const char* name, const char* type, const char* help)
-  {
-    this->text << "# HELP buckthornwing_" << name << ' ' << help << '\n'
-               << "# TYPE buckthornwing_" << name << ' ' << type << '\n';
-  }
-
-  template<typename Value>
-  void sample(const char* name, Value value, const std::string& labels = {})
-  {
-    this->text << "buckthornwing_" << name;
-    if (!labels.empty()) {
-      this->text << '{' << labels << '}';
-    }
-    this->text << ' ' << value << '\n';
-  }
-
-  template<typename Value>
-  void single(const char* name, const char* type, const char* help, Value value)
-  {
-    this->family(name, type, help);
-    this->sample(name, value);
-  }
-
-  std::string str() const { return this->text.str(); }
-
-private:
-  std::ostringstream text;
-};
-
-std::string
-label(const char* name, std::string_view value)
-{
-  std::string text(name);
-  text += "=\"";
-  for (const char c : value) {
-    if (c == '"' || c == '\\') {
-      text += '\\';
-    }
-    text += c;
-  }
-  return text + "\"";
-}
-
 void
 writePackets(const Counters& counters, MetricsWriter& writer)
 {
--- /dev/null
+++ b/buckthornwing/src/Io/SettingsText.cpp
@@ -0,0 +1,52 @@
+#include "SettingsText.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornwing::internal {
+namespace {
+
+/// \brief A shorter secret is a slip, not a key.
+constexpr std::size_t kLeastKeyBytes = 16;
+
+}
+
+std::string
+joinProblems(const Problems& problems)
+{
+  std::string text;
+  for (const Problem& problem : problems) {
+    text += (text.empty() ? "" : "; ") + problem.path + ": " + problem.expected;
+  }
+  return text;
+}
+
+std::vector<Endpoint>
+parseSeeds(JsonReader& reader, Problems& problems)
+{
+  std::vector<Endpoint> seeds;
+  const boost::json::array* texts = reader.array("seeds", false);
+  for (std::size_t i = 0; texts != nullptr && i < texts->size(); ++i) {
+    const boost::json::string* text = (*texts)[i].if_string();
+    const auto endpoint = text == nullptr ? std::nullopt : parseEndpoint(*text);
+    if (!endpoint) {
+      problems.push_back({ reader.pathOf("seeds", i),
+                           "expected \"address:port\" by IP number, found " +
+                             describeKind((*texts)[i]) });
+      continue;
+    }
+    seeds.push_back(*endpoint);
+  }
+  return seeds;
+}
+
+std::string
+parseFleetKey(JsonReader& reader)
+{
+  std::string key = reader.text("fleet_key");
+  if (!key.empty() && key.size() < kLeastKeyBytes) {
+    reader.report("fleet_key", "expected at least 16 characters");
+  }
+  return key;
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -0,0 +1,155 @@
+#include "TagLog.h"
+
+#include "WallClock.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornwing {
+namespace internal {
+
+void
+addPacket(const CallerPacket& packet, boost::json::object& line)
+{
+  line["flow"] = formatFlowKey(packet.flow);
+  if (packet.opens) {
+    line["copy"] = packet.openingCopy;
+    return;
+  }
+  line["tag"] = packet.tag.bits;
+  line["sequence"] = packet.sequence;
+  line["acknowledged"] = packet.acknowledged;
+  line["bytes"] = packet.payload.size();
+}
+
+void
+addTarget(const TagBoard& board, TargetSlot slot, boost::json::object& line)
+{
+  const KnownTarget& target = board.registry.at(slot);
+  const TargetLoad& load = board.observer.load(slot);
+  line["target"] = target.record.id;
+  line["target_revision"] = target.revision;
+  line["target_flows"] = load.flows;
+  line["target_busy"] = load.busy;
+}
+
+void
+addView(const TagBoard& board, MilliTime now, boost::json::object& line)
+{
+  line["targets_revision"] = board.registry.revision();
+  line["targets_age_ms"] = (now - board.targetsConfirmedAt).ms;
+  line["routes_version"] = board.routes.version();
+  line["routes_age_ms"] = (now - board.routesConfirmedAt).ms;
+}
+
+}
+
+TagLog::TagLog(JsonLog& log, std::string instance, TagLogLevel level)
+  : log(log)
+  , instance(std::move(instance))
+  , level(level)
+{
+  for (TokenBucket& budget : this->budgets) {
+    budget.configure(kLinesPerSecond, kLinesAtOnce);
+  }
+  this->changeBudget.configure(kLinesPerSecond, kLinesAtOnce);
+}
+
+bool
+TagLog::isWanted(const CallerPacket& packet,
+                 const SteeringDecision& decision,
+                 std::string_view requestId) const
+{
+  if (this->level == TagLogLevel::packets) {
+    return true;
+  }
+  const bool isDecision = packet.opens || !requestId.empty() ||
+                          decision.outcome != SteeringOutcome::forward;
+  return isDecision && this->level == TagLogLevel::decisions;
+}
+
+void
+TagLog::decision(const TagBoard& board,
+                 const CallerPacket& packet,
+                 const SteeringDecision& decision,
+                 std::string_view requestId,
+                 MilliTime now)
+{
+  if (!this->isWanted(packet, decision, requestId)) {
+    return;
+  }
+  const std::size_t kind = static_cast<std::size_t>(decision.reason) * 2 +
+                           (requestId.empty() ? 0 : 1);
+  if (!this->budgets[kind].take(1, now)) {
+    ++this->suppressedLines;
+    return;
+  }
+  boost::json::object line;
+  line["time_ms"] = wallClockMilliseconds();
+  line["instance"] = this->instance;
+  line["event"] = steeringOutcomeName(decision.outcome);
+  line["reason"] = steeringReasonName(decision.reason);
+  if (!requestId.empty()) {
+    line["request"] = requestId;
+  }
+  internal::addPacket(packet, line);
+  if (decision.route != nullptr) {
+    line["route"] = decision.route->name;
+  }
+  if (decision.target != kNoTargetSlot) {
+    internal::addTarget(board, decision.target, line);
+  }
+  internal::addView(board, now, line);
+  this->log.write(boost::json::serialize(line));
+}
+
+void
+TagLog::change(const TagBoard& board, const TagEvent& event, MilliTime now)
+{
+  if (!this->changeBudget.take(1, now)) {
+    ++this->suppressedLines;
+    return;
+  }
+  boost::json::object line;
+  line["time_ms"] = wallClockMilliseconds();
+  line["instance"] = this->instance;
+  line["event"] = tagEventName(event.kind);
+  if (!event.subject.empty()) {
+    line["subject"] = event.subject;
+  }
+  if (event.revision != 0) {
+    line["revision"] = event.revision;
+  }
+  if (event.milliseconds != 0) {
+    line["ms"] = event.milliseconds;
+  }
+  if (!event.note.empty()) {
+    line["note"] = event.note;
+  }
+  internal::addView(board, now, line);
+  this->log.write(boost::json::serialize(line));
+}
+
+void
+TagLog::note(std::string_view event, std::string_view text)
+{
+  boost::json::object line;
+  line["time_ms"] = wallClockMilliseconds();
+  line["instance"] = this->instance;
+  line["event"] = event;
+  line["note"] = text;
+  this->log.write(boost::json::serialize(line));
+}
+
+void
+TagLog::tellSuppressed()
+{
+  const std::uint64_t count =
+    this->suppressedLines + this->log.lost() - this->toldSuppressed;
+  if (count == 0) {
+    return;
+  }
+  this->toldSuppressed += count;
+  this->note("lines_left_out", std::to_string(count));
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Io/TagLog.h
@@ -0,0 +1,57 @@
+#ifndef BUCKTHORNWING_TAG_LOG_H
+#define BUCKTHORNWING_TAG_LOG_H
+
+#include "../Core/TokenBucket.h"
+#include "../Steering/TagEngine.h"
+#include "JsonLog.h"
+#include "TagServerSettings.h"
+
+#include <array>
+#include <string_view>
+
+namespace buckthornwing {
+
+/// \brief Writes decisions and changes of belief as JSON lines, at a bounded
+/// rate for each kind of line.
+class TagLog
+{
+public:
+  TagLog(JsonLog& log, std::string instance, TagLogLevel level);
+
+  void setLevel(TagLogLevel newLevel) { this->level = newLevel; }
+
+  /// \brief Logs what was decided on a packet, if the level asks for it.
+  void decision(const TagBoard& board,
+                const CallerPacket& packet,
+                const SteeringDecision& decision,
+                std::string_view requestId,
+                MilliTime now);
+  void change(const TagBoard& board, const TagEvent& event, MilliTime now);
+  /// \brief Logs a step in the process's life.
+  void note(std::string_view event, std::string_view text);
+  /// \brief Tells how many lines were left out since the last call.
+  void tellSuppressed();
+
+  std::uint64_t suppressed() const { return this->suppressedLines; }
+
+private:
+  /// \brief Lines of one kind a second, and at once after a quiet time.
+  static constexpr double kLinesPerSecond = 150;
+  static constexpr double kLinesAtOnce = 600;
+
+  JsonLog& log;
+  std::string instance;
+  TagLogLevel level;
+  std::array<TokenBucket, 2 * kSteeringReasonCount> budgets;
+  TokenBucket changeBudget;
+  std::uint64_t suppressedLines = 0;
+  std::uint64_t toldSuppressed = 0;
+
+  bool isWanted(const CallerPacket& packet,
+                const SteeringDecision& decision,
+                std::string_view requestId) const;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -0,0 +1,126 @@
+#include "TagReport.h"
+
+#include "MetricsWriter.h"
+
+#include <boost/json.hpp>
+
+namespace buckthornwing {
+namespace internal {
+
+void
+writeDecisions(const TagCounters& counters, MetricsWriter& writer)
+{
+  writer.family("decisions_total", "counter", "Packets, by outcome");
+  for (std::size_t i = 0; i < counters.outcomes.size(); ++i) {
+    const auto outcome = static_cast<SteeringOutcome>(i);
+    writer.sample("decisions_total",
+                  counters.outcomes[i],
+                  label("outcome", steeringOutcomeName(outcome)));
+  }
+  writer.family("decision_reasons_total", "counter", "Packets, by reason");
+  for (std::size_t i = 0; i < counters.decisions.size(); ++i) {
+    const auto reason = static_cast<SteeringReason>(i);
+    writer.sample("decision_reasons_total",
+                  counters.decisions[i],
+                  label("reason", steeringReasonName(reason)));
+  }
+}
+
+void
+writeHost(const TagHostCounters& host, MetricsWriter& writer)
+{
+  writer.single(
+    "packets_total", "counter", "Datagrams of the fabric", host.packets);
+  writer.family(
+    "packet_faults_total", "counter", "Datagrams that are no packet");
+  for (std::size_t i = 1; i < host.faults.size(); ++i) {
+    writer.sample("packet_faults_total",
+                  host.faults[i],
+                  label("fault", packetFaultName(static_cast<PacketFault>(i))));
+  }
+  writer.single("packets_not_held_total",
+                "counter",
+                "Packets dropped because too many wait for a view",
+                host.notHeld);
+  writer.single("sends_lost_total",
+                "counter",
+                "Datagrams that the kernel did not take",
+                host.sendsLost);
+  writer.single("store_calls_total",
+                "counter",
+                "Calls to the platform's store",
+                host.storeCalls);
+  writer.single("store_failures_total",
+                "counter",
+                "Calls to the platform's store that failed",
+                host.storeFailures);
+  writer.single("log_lines_lost_total",
+                "counter",
+                "Log lines left out",
+                host.logLinesLost);
+}
+
+}
+
+std::string
+formatTagMetrics(const TagBoard& board,
+                 const TagHostCounters& host,
+                 MilliTime now)
+{
+  internal::MetricsWriter writer;
+  internal::writeDecisions(board.counters, writer);
+  internal::writeHost(host, writer);
+  writer.single("tracked_flows",
+                "gauge",
+                "Flows whose packets pass here",
+                board.observer.flowCount());
+  writer.single("targets_age_milliseconds",
+                "gauge",
+                "Time since the targets were confirmed",
+                (now - board.targetsConfirmedAt).ms);
+  writer.single("routes_age_milliseconds",
+                "gauge",
+                "Time since the routes were confirmed",
+                (now - board.routesConfirmedAt).ms);
+  writer.single("routes_version",
+                "gauge",
+                "Version of the routes in force",
+                board.routes.version());
+  return writer.str();
+}
+
+std::string
+formatTagStatus(const TagBoard& board,
+                const TagHostCounters& host,
+                MilliTime now)
+{
+  boost::json::object status;
+  status["id"] = board.settings.id;
+  status["zone"] = board.settings.zone;
+  status["stopping"] = board.stopping;
+  status["routes_version"] = board.routes.version();
+  status["routes_age_ms"] = (now - board.routesConfirmedAt).ms;
+  status["targets_revision"] = board.registry.revision();
+  status["targets_age_ms"] = (now - board.targetsConfirmedAt).ms;
+  status["tracked_flows"] = board.observer.flowCount();
+  status["packets"] = host.packets;
+  status["store_calls"] = host.storeCalls;
+  boost::json::array targets;
+  for (TargetSlot slot = 0; slot < board.registry.targets().size(); ++slot) {
+    const KnownTarget& target = board.registry.at(slot);
+    if (!target.used) {
+      continue;
+    }
+    const TargetLoad& load = board.observer.load(slot);
+    targets.push_back({ { "id", target.record.id },
+                        { "takes_new_flows", target.takesNewFlows() },
+                        { "flows", load.flows },
+                        { "busy", load.busy },
+                        { "service_ms", load.serviceMs },
+                        { "peer_flows", load.peerFlows } });
+  }
+  status["targets"] = std::move(targets);
+  return boost::json::serialize(status);
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Io/TagServer.h
@@ -0,0 +1,285 @@
+#ifndef BUCKTHORNWING_TAG_SERVER_H
+#define BUCKTHORNWING_TAG_SERVER_H
+
+#include "../Steering/TagEngine.h"
+#include "HeldPackets.h"
+#include "HttpServer.h"
+#include "JsonLog.h"
+#include "TagLog.h"
+#include "TagReport.h"
+#include "TagServerSettings.h"
+#include "UdpSocket.h"
+#include "WallClock.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <concepts>
+#include <functional>
+#include <memory>
+
+namespace buckthornwing {
+
+/// \brief Translates between datagrams of a tagging fabric and CallerPacket.
+template<typename Codec>
+concept TagCodec = requires(std::span<const std::uint8_t> datagram,
+                            CallerPacket& packet,
+                            std::span<std::uint8_t> out) {
+  { Codec::parse(datagram, packet) } -> std::same_as<PacketFault>;
+  {
+    Codec::writeForward(datagram, packet, std::uint64_t{}, FlowTag{}, out)
+  } -> std::same_as<std::span<const std::uint8_t>>;
+  { Codec::makeReset(packet) };
+  {
+    Codec::callerEndpoint(packet, std::uint16_t{})
+  } -> std::same_as<Endpoint>;
+  { Codec::requestId(datagram) } -> std::same_as<std::string_view>;
+  { Codec::kMostDatagramBytes } -> std::convertible_to<std::size_t>;
+};
+
+/// \brief Reads targets and routes from the platform into an engine.
+template<typename Source>
+concept ViewSource = requires(Source source) {
+  source.start();
+  source.stop();
+  { source.calls() } -> std::convertible_to<std::uint64_t>;
+  { source.failures() } -> std::convertible_to<std::uint64_t>;
+};
+
+/// \brief Drives one TagEngine over sockets; the whole of a daemon before a
+/// tagging fabric but for its command line and signals.
+template<TagCodec Codec, ViewSource Source>
+class TagServer
+{
+public:
+  TagServer(boost::asio::io_context& context, TagServerSettings newSettings)
+    : context(context)
+    , settings(std::move(newSettings))
+    , packets(context)
+    , ready(context)
+    , operators(context)
+    , jsonLog({})
+    , log(jsonLog, settings.tag.id, settings.logLevel)
+    , engine(settings.tag)
+    , source(context, settings, engine, [this] { this->afterInput(); })
+    , tickTimer(context)
+  {
+  }
+
+  /// \brief Binds all sockets and starts serving.
+  boost::leaf::result<void> start()
+  {
+    BOOST_LEAF_CHECK(
+      this->packets.open(this->settings.packetAddress, "bind packet socket"));
+    BOOST_LEAF_CHECK(
+      this->ready.open(this->settings.readyAddress, "bind readiness socket"));
+    BOOST_LEAF_CHECK(this->operators.open(this->settings.operatorsAddress,
+                                          "bind operators' socket"));
+    this->log.note("start", "zone " + this->settings.tag.zone);
+    this->packets.start([this](auto datagram) { this->onDatagram(datagram); });
+    const auto handler = [this](const std::string& target,
+                                const HttpServer::Respond& respond) {
+      respond(this->serve(target));
+    };
+    this->ready.start(handler);
+    this->operators.start(handler);
+    this->source.start();
+    this->scheduleTick();
+    return {};
+  }
+
+  /// \brief Starts a planned stop: not ready at once, but forwarding until the
+  /// fabric has noticed and no more packets arrive.
+  void requestStop()
+  {
+    if (this->stopAt.ms != 0) {
+      return;
+    }
+    this->log.note("stop_requested", "not ready from now on");
+    this->engine.requestStop(bootTime());
+    this->stopAt = bootTime() + this->settings.stopWithin;
+  }
+
+  /// \brief Takes new settings; those of sockets and identity keep until the
+  /// next start.
+  void reload(const TagServerSettings& newSettings)
+  {
+    this->log.setLevel(newSettings.logLevel);
+    this->settings.stopWithin = newSettings.stopWithin;
+    this->log.note("reload", "settings taken");
+  }
+
+  /// \brief Notes that new settings were not taken.
+  void refuseReload(const std::string& problem)
+  {
+    this->log.note("reload_refused", problem);
+  }
+
+private:
+  /// A planned stop ends this long before the limit.
+  static constexpr MilliDuration kStopMargin{ 500 };
+  /// The fabric notices within two checks of half a second each.
+  static constexpr MilliDuration kLeastStop{ 1700 };
+  /// No packet for so long means that the fabric uses other instances.
+  static constexpr MilliDuration kQuiet{ 500 };
+
+  boost::asio::io_context& context;
+  TagServerSettings settings;
+  UdpSocket packets;
+  HttpServer ready;
+  HttpServer operators;
+  JsonLog jsonLog;
+  TagLog log;
+  TagEngine engine;
+  Source source;
+  boost::asio::steady_timer tickTimer;
+  HeldPackets held;
+  TagHostCounters counters;
+  MilliTime stopAt{};
+  MilliTime lastPacketAt{};
+  std::array<std::uint8_t, Codec::kMostDatagramBytes> out{};
+
+  void onDatagram(std::span<const std::uint8_t> datagram)
+  {
+    const MilliTime now = bootTime();
+    this->lastPacketAt = now;
+    ++this->counters.packets;
+    CallerPacket packet;
+    const PacketFault fault = datagram.size() + sizeof(std::uint64_t) >
+                                  this->out.size()
+                                ? PacketFault::lengthMismatch
+                                : Codec::parse(datagram, packet);
+    if (fault != PacketFault::none) {
+      ++this->counters.faults[static_cast<std::size_t>(fault)];
+      return;
+    }
+    const SteeringDecision decision = this->engine.onPacket(packet, now);
+    this->carryOut(decision, packet, datagram, now);
+    const std::string_view requestId =
+      packet.payload.empty() ? std::string_view{}
+                             : Codec::requestId(packet.payload);
+    this->log.decision(
+      this->engine.board(), packet, decision, requestId, now);
+  }
+
+  void carryOut(const SteeringDecision& decision,
+                const CallerPacket& packet,
+                std::span<const std::uint8_t> datagram,
+                MilliTime now)
+  {
+    switch (decision.outcome) {
+      case SteeringOutcome::forward: {
+        const TargetRecord& target =
+          this->engine.board().registry.at(decision.target).record;
+        const auto bytes = Codec::writeForward(
+          datagram, packet, target.number, decision.tag, this->out);
+        this->send(bytes, target.address);
+        break;
+      }
+      case SteeringOutcome::reset:
+        this->send(Codec::makeReset(packet),
+                   Codec::callerEndpoint(packet,
+                                         this->settings.packetAddress.port));
+        break;
+      case SteeringOutcome::hold:
+        this->counters.notHeld += this->held.hold(datagram, now) ? 0 : 1;
+        break;
+      case SteeringOutcome::drop:
+        break;
+    }
+  }
+
+  void send(std::span<const std::uint8_t> bytes, const Endpoint& to)
+  {
+    this->counters.sendsLost += this->packets.send(bytes, to) ? 0 : 1;
+  }
+
+  /// \brief Called after each input from the platform or a peer.
+  void afterInput()
+  {
+    const MilliTime now = bootTime();
+    for (const TagEvent& event : this->engine.takeEvents()) {
+      this->log.change(this->engine.board(), event, now);
+    }
+    for (const auto& datagram : this->held.release(now)) {
+      this->onDatagram(datagram);
+    }
+  }
+
+  void scheduleTick()
+  {
+    this->tickTimer.expires_after(std::chrono::milliseconds(kTagTickPeriod.ms));
+    this->tickTimer.async_wait([this](const boost::system::error_code& code) {
+      if (!code) {
+        this->tick();
+      }
+    });
+  }
+
+  void tick()
+  {
+    const MilliTime now = bootTime();
+    this->engine.tick(now);
+    this->afterInput();
+    this->log.tellSuppressed();
+    if (this->mayStop(now)) {
+      this->finishStop();
+      return;
+    }
+    this->scheduleTick();
+  }
+
+  bool mayStop(MilliTime now) const
+  {
+    if (this->stopAt.ms == 0) {
+      return false;
+    }
+    const MilliDuration left = this->stopAt - now;
+    const MilliDuration passed{ this->settings.stopWithin.ms - left.ms };
+    const bool isQuiet = now - this->lastPacketAt > kQuiet;
+    return left <= kStopMargin || (passed >= kLeastStop && isQuiet);
+  }
+
+  void finishStop()
+  {
+    this->log.note("stop", "no packets are under way");
+    this->source.stop();
+    this->packets.close();
+    this->ready.close();
+    this->operators.close();
+    this->context.stop();
+  }
+
+  HttpReply serve(const std::string& target)
+  {
+    constexpr unsigned kUnavailable = 503;
+    constexpr unsigned kNotFound = 404;
+    this->counters.storeCalls = this->source.calls();
+    this->counters.storeFailures = this->source.failures();
+    this->counters.logLinesLost = this->log.suppressed() + this->jsonLog.lost();
+    const TagBoard& board = this->engine.board();
+    if (target == Source::kReadyPath || target == "/healthz") {
+      const bool isReady = this->engine.ready();
+      return { isReady ? 200 : kUnavailable,
+               "text/plain",
+               isReady ? "ready\n" : "not ready\n",
+               {} };
+    }
+    if (target == "/metrics") {
+      return { 200,
+               "text/plain; version=0.0.4",
+               formatTagMetrics(board, this->counters, bootTime()),
+               {} };
+    }
+    if (target == "/status") {
+      return { 200,
+               "application/json",
+               formatTagStatus(board, this->counters, bootTime()),
+               {} };
+    }
+    return { kNotFound, "text/plain", "not found\n", {} };
+  }
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -0,0 +1,43 @@
+#include "TagServerSettings.h"
+
+#include "../Core/Hash.h"
+#include "SettingsText.h"
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::uint64_t kMostStopSeconds = 3600;
+/// \brief Separates the tag secret from other uses of the fleet key.
+constexpr std::uint64_t kTagSecretDomain = 0x7461670000000001ULL;
+
+TagServerSettings
+parseTagFields(JsonReader& reader, Problems& problems)
+{
+  TagServerSettings settings;
+  settings.tag.id = reader.text("id");
+  settings.tag.zone = reader.text("zone");
+  settings.tag.peerAddress = reader.endpoint("peer_address");
+  settings.packetAddress = reader.endpoint("packet_address");
+  settings.readyAddress = reader.endpoint("ready_address");
+  settings.operatorsAddress = reader.endpoint("operators_address");
+  settings.store = reader.endpoint("store");
+  settings.fleetKey = parseFleetKey(reader);
+  settings.tag.tagSecret = hashText(settings.fleetKey, kTagSecretDomain);
+  const auto seconds = reader.number("stop_within_s", 1, kMostStopSeconds, 6);
+  settings.stopWithin.ms = static_cast<std::int64_t>(seconds) * 1000;
+  settings.logLevel = static_cast<TagLogLevel>(
+    reader.choice("log_level", { "changes", "decisions", "packets" }, 1));
+  settings.tag.seeds = parseSeeds(reader, problems);
+  return settings;
+}
+
+}
+
+boost::leaf::result<TagServerSettings>
+parseTagServerSettings(std::string_view text, const std::string& fileName)
+{
+  return internal::parseSettingsText<TagServerSettings>(
+    text, fileName, internal::parseTagFields);
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -0,0 +1,59 @@
+#ifndef BUCKTHORNWING_PLACEMENT_POLICY_H
+#define BUCKTHORNWING_PLACEMENT_POLICY_H
+
+#include "TagBoard.h"
+
+#include <concepts>
+
+namespace buckthornwing {
+
+/// \brief Chooses the target of a new flow.
+template<typename Policy>
+concept PlacementPolicy = requires(Policy policy,
+                                   TagBoard& board,
+                                   FlowId flow,
+                                   ServiceSlot service,
+                                   MilliTime now) {
+  {
+    policy.choose(board, flow, service, now)
+  } -> std::same_as<TargetSlot>;
+};
+
+/// \brief Rendezvous hashing over the targets of the own zone, or of all
+/// zones if it has none. Looks at no load.
+struct HashPlacement
+{
+  TargetSlot choose(TagBoard& board,
+                    FlowId flow,
+                    ServiceSlot service,
+                    MilliTime now) const;
+};
+
+/// \brief The target with the fewest flows and requests for each slot.
+///
+/// The own zone comes first, because its targets stay reachable when zones
+/// lose each other; another zone is taken when the own one is busier by more
+/// than a margin.
+struct LeastLoadPlacement
+{
+  TargetSlot choose(TagBoard& board,
+                    FlowId flow,
+                    ServiceSlot service,
+                    MilliTime now) const;
+};
+
+static_assert(PlacementPolicy<HashPlacement>);
+static_assert(PlacementPolicy<LeastLoadPlacement>);
+
+/// \returns the load of a target per request slot, as placement compares it.
+double
+placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now);
+
+/// \returns the service that takes a new flow of a route, by weight. All
+/// instances choose alike for one flow.
+ServiceSlot
+chooseService(const Route& route, FlowId flow);
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -0,0 +1,139 @@
+#include "SteeringController.h"
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief A view confirmed within this time may say that something isn't
+/// there; an older one only what is.
+constexpr MilliDuration kFreshFor{ 3000 };
+
+}
+
+SteeringDecision
+SteeringController::decide(const CallerPacket& packet, MilliTime now)
+{
+  const FlowId id = flowIdOf(packet.flow, this->board.settings.tagSecret);
+  SteeringDecision decision;
+  if (!this->board.hasView()) {
+    decision.outcome = SteeringOutcome::hold;
+    decision.reason = SteeringReason::noView;
+  } else if (packet.opens) {
+    decision = this->decideOpening(packet, id, now);
+  } else {
+    decision = this->decideLater(packet, id, now);
+  }
+  if (decision.outcome == SteeringOutcome::forward) {
+    const RouteKind kind =
+      decision.route == nullptr ? RouteKind::nonIdempotent : decision.route->kind;
+    const Observation seen = this->board.observer.onForwarded(
+      packet, id, decision.target, kind, decision.tag, now);
+    this->board.counters.repeats += seen == Observation::repeated ? 1 : 0;
+  } else if (decision.outcome == SteeringOutcome::reset) {
+    this->board.observer.onReset(id);
+  }
+  this->count(decision);
+  return decision;
+}
+
+SteeringDecision
+SteeringController::decideOpening(const CallerPacket& packet,
+                                  FlowId id,
+                                  MilliTime now)
+{
+  SteeringDecision decision;
+  decision.route = this->board.routes.find(packet.flow.destination);
+  if (packet.tag.bits != 0 || !packet.payload.empty()) {
+    decision.reason = SteeringReason::strayOpening;
+    return decision;
+  }
+  if (decision.route == nullptr) {
+    decision.reason = SteeringReason::noRoute;
+    decision.outcome = this->isFresh(now) ? SteeringOutcome::reset
+                                          : SteeringOutcome::drop;
+    return decision;
+  }
+  const TrackedFlow* known = this->board.observer.find(id);
+  if (known != nullptr &&
+      this->board.registry.at(known->target).takesNewFlows()) {
+    decision.outcome = SteeringOutcome::forward;
+    decision.reason = SteeringReason::openingCopy;
+    decision.target = known->target;
+    decision.tag = known->tag;
+    return decision;
+  }
+  return this->place(packet, id, *decision.route, now);
+}
+
+SteeringDecision
+SteeringController::place(const CallerPacket& packet,
+                          FlowId id,
+                          const Route& route,
+                          MilliTime now)
+{
+  SteeringDecision decision;
+  decision.route = &route;
+  const ServiceSlot service = chooseService(route, id);
+  decision.target = this->placement.choose(this->board, id, service, now);
+  if (decision.target != kNoTargetSlot) {
+    decision.tag =
+      this->board.tags.mint(this->board.registry, packet.flow, decision.target);
+  }
+  if (decision.tag.bits == 0) {
+    decision.reason = SteeringReason::noTarget;
+    decision.outcome = this->isFresh(now) ? SteeringOutcome::reset
+                                          : SteeringOutcome::drop;
+    return decision;
+  }
+  decision.outcome = SteeringOutcome::forward;
+  decision.reason = SteeringReason::placed;
+  return decision;
+}
+
+SteeringDecision
+SteeringController::decideLater(const CallerPacket& packet,
+                                FlowId id,
+                                MilliTime now)
+{
+  SteeringDecision decision;
+  decision.route = this->board.routes.find(packet.flow.destination);
+  if (decision.route == nullptr) {
+    decision.reason = SteeringReason::noRoute;
+    decision.outcome = this->isFresh(now) ? SteeringOutcome::reset
+                                          : SteeringOutcome::drop;
+    return decision;
+  }
+  decision.tag = packet.tag;
+  if (packet.tag.bits == 0) {
+    decision.reason = SteeringReason::noTag;
+    return decision;
+  }
+  decision.target = this->board.tags.find(
+    this->board.registry, packet.tag, packet.flow);
+  if (decision.target == kNoTargetSlot) {
+    decision.reason = SteeringReason::unknownTag;
+    decision.outcome = SteeringOutcome::hold;
+    return decision;
+  }
+  (void)id;
+  decision.outcome = SteeringOutcome::forward;
+  decision.reason = SteeringReason::tagged;
+  return decision;
+}
+
+bool
+SteeringController::isFresh(MilliTime now) const
+{
+  const MilliTime oldest = std::min(this->board.targetsConfirmedAt,
+                                    this->board.routesConfirmedAt);
+  return now - oldest <= internal::kFreshFor;
+}
+
+void
+SteeringController::count(const SteeringDecision& decision)
+{
+  TagCounters& counters = this->board.counters;
+  ++counters.decisions[static_cast<std::size_t>(decision.reason)];
+  ++counters.outcomes[static_cast<std::size_t>(decision.outcome)];
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -0,0 +1,110 @@
+#include "TagEngine.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief A gap between ticks above this means that the process stood still.
+constexpr MilliDuration kPauseGap{ 1000 };
+constexpr MilliDuration kSweepPeriod{ 1000 };
+
+}
+
+TagEngine::TagEngine(TagSettings settings)
+  : state(std::move(settings))
+  , view(this->state)
+  , steering(this->state)
+{
+}
+
+SteeringDecision
+TagEngine::onPacket(const CallerPacket& packet, MilliTime now)
+{
+  return this->steering.decide(packet, now);
+}
+
+void
+TagEngine::noteContact(MilliTime now)
+{
+  if (this->storeLost) {
+    this->storeLost = false;
+    this->state.events.push_back({ TagEventKind::storeRegained, {}, 0, 0, {} });
+  }
+  (void)now;
+}
+
+void
+TagEngine::onTargetListing(std::uint64_t asOf,
+                           std::span<const TargetChange> listed,
+                           MilliTime now)
+{
+  this->noteContact(now);
+  this->view.onSnapshot(asOf, listed, now);
+  this->state.targetsConfirmedAt = now;
+}
+
+void
+TagEngine::onTargetChanges(std::uint64_t asOf,
+                           std::span<const TargetChange> changes,
+                           MilliTime now)
+{
+  this->noteContact(now);
+  this->view.onChanges(asOf, changes, now);
+  this->state.targetsConfirmedAt = now;
+}
+
+void
+TagEngine::onRoutes(RouteTable table, MilliTime now)
+{
+  const std::uint64_t revision = table.revision;
+  this->view.onRoutes(std::move(table), now);
+  this->onRoutesConfirmed(revision, now);
+}
+
+void
+TagEngine::onRoutesConfirmed(std::uint64_t asOf, MilliTime now)
+{
+  this->noteContact(now);
+  this->routesAsOf = std::max(this->routesAsOf, asOf);
+  this->state.routesConfirmedAt = now;
+}
+
+void
+TagEngine::onStoreFailure(const std::string& cause, MilliTime now)
+{
+  this->state.registry.noteUnwell(now);
+  if (!this->storeLost) {
+    this->storeLost = true;
+    this->state.events.push_back({ TagEventKind::storeLost, {}, 0, 0, cause });
+  }
+}
+
+void
+TagEngine::tick(MilliTime now)
+{
+  const MilliDuration gap = now - this->lastTick;
+  if (this->lastTick.ms != 0 && gap > internal::kPauseGap) {
+    this->state.events.push_back({ TagEventKind::paused, {}, 0, gap.ms, {} });
+  }
+  this->lastTick = now;
+  this->view.tick(now);
+  if (now - this->lastSweep >= internal::kSweepPeriod) {
+    this->lastSweep = now;
+    this->state.observer.sweep(now, this->state.settings.flowIdle);
+  }
+}
+
+void
+TagEngine::requestStop(MilliTime /*now*/)
+{
+  this->state.stopping = true;
+}
+
+std::vector<TagEvent>
+TagEngine::takeEvents()
+{
+  return std::exchange(this->state.events, {});
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -0,0 +1,61 @@
+#ifndef BUCKTHORNWING_TAG_ENGINE_H
+#define BUCKTHORNWING_TAG_ENGINE_H
+
+#include "SteeringController.h"
+#include "TagBoard.h"
+#include "ViewController.h"
+
+namespace buckthornwing {
+
+/// \brief Time between two calls of TagEngine::tick().
+inline constexpr MilliDuration kTagTickPeriod{ 100 };
+
+/// \brief One instance before a tagging fabric: typed inputs and outputs over
+/// one blackboard, without I/O.
+class TagEngine
+{
+public:
+  explicit TagEngine(TagSettings settings);
+
+  SteeringDecision onPacket(const CallerPacket& packet, MilliTime now);
+
+  /// \brief Takes a full list of targets from the platform.
+  void onTargetListing(std::uint64_t asOf,
+                       std::span<const TargetChange> listed,
+                       MilliTime now);
+  /// \brief Takes what changed since the last call, maybe nothing.
+  void onTargetChanges(std::uint64_t asOf,
+                       std::span<const TargetChange> changes,
+                       MilliTime now);
+  /// \brief Takes a configuration from the platform.
+  void onRoutes(RouteTable table, MilliTime now);
+  /// \brief Notes that the platform has no newer routes.
+  void onRoutesConfirmed(std::uint64_t asOf, MilliTime now);
+  /// \brief Notes that the platform did not answer.
+  void onStoreFailure(const std::string& cause, MilliTime now);
+
+  void tick(MilliTime now);
+  void requestStop(MilliTime now);
+
+  /// \returns whether the fabric may hand over packets.
+  bool ready() const { return this->state.hasView() && !this->state.stopping; }
+
+  const TagBoard& board() const { return this->state; }
+  std::uint64_t routesRevision() const { return this->routesAsOf; }
+  std::vector<TagEvent> takeEvents();
+
+private:
+  TagBoard state;
+  ViewController view;
+  SteeringController steering;
+  std::uint64_t routesAsOf = 0;
+  MilliTime lastTick{};
+  MilliTime lastSweep{};
+  bool storeLost = false;
+
+  void noteContact(MilliTime now);
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -0,0 +1,41 @@
+#include "TagEvent.h"
+
+namespace buckthornwing {
+
+const char*
+tagEventName(TagEventKind kind)
+{
+  switch (kind) {
+    case TagEventKind::targetListed:
+      return "target_listed";
+    case TagEventKind::targetDraining:
+      return "target_draining";
+    case TagEventKind::targetLapsed:
+      return "target_lapsed";
+    case TagEventKind::targetGone:
+      return "target_gone";
+    case TagEventKind::targetSuspected:
+      return "target_suspected";
+    case TagEventKind::targetTrusted:
+      return "target_trusted";
+    case TagEventKind::targetDead:
+      return "target_dead";
+    case TagEventKind::routes:
+      return "routes";
+    case TagEventKind::registryLoaded:
+      return "registry_loaded";
+    case TagEventKind::memberJoined:
+      return "member_joined";
+    case TagEventKind::memberLost:
+      return "member_lost";
+    case TagEventKind::storeLost:
+      return "store_lost";
+    case TagEventKind::storeRegained:
+      return "store_regained";
+    case TagEventKind::paused:
+      return "paused";
+  }
+  return "unknown";
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -0,0 +1,28 @@
+#ifndef BUCKTHORNWING_TAG_SETTINGS_H
+#define BUCKTHORNWING_TAG_SETTINGS_H
+
+#include "../Core/IpAddress.h"
+#include "../Core/MilliTime.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief What an instance before a tagging fabric is told about itself.
+struct TagSettings
+{
+  std::string id;
+  std::string zone;
+  Endpoint peerAddress;
+  std::vector<Endpoint> seeds;     ///< peers to contact first
+  std::uint64_t tagSecret = 0;     ///< equal on all instances
+  std::uint64_t seed = 0;          ///< of random choices
+  std::uint64_t incarnation = 0;   ///< wall clock of the start, milliseconds
+  MilliDuration flowIdle{ 15000 }; ///< an idle flow is forgotten after it
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -0,0 +1,93 @@
+#include "ViewController.h"
+
+namespace buckthornwing {
+
+void
+ViewController::onChanges(std::uint64_t asOf,
+                          std::span<const TargetChange> changes,
+                          MilliTime now)
+{
+  const auto slots = this->board.registry.applyChanges(asOf, changes, now);
+  this->onChanged(slots, now);
+}
+
+void
+ViewController::onSnapshot(std::uint64_t asOf,
+                           std::span<const TargetChange> listed,
+                           MilliTime now)
+{
+  const bool isFirst = !this->board.registry.loaded();
+  const auto slots = this->board.registry.applySnapshot(asOf, listed, now);
+  this->onChanged(slots, now);
+  if (isFirst) {
+    this->board.events.push_back({ TagEventKind::registryLoaded,
+                                   {},
+                                   asOf,
+                                   0,
+                                   std::to_string(listed.size()) +
+                                     " targets" });
+  }
+}
+
+bool
+ViewController::onRoutes(RouteTable table, MilliTime now)
+{
+  if (!this->board.routes.apply(std::move(table))) {
+    return false;
+  }
+  const RouteTable& applied = this->board.routes.routes();
+  this->board.pools.rebuild(this->board.routes, this->board.registry);
+  this->board.events.push_back(
+    { TagEventKind::routes,
+      {},
+      applied.version,
+      (now - this->board.routesConfirmedAt).ms,
+      std::to_string(applied.routes.size()) + " routes, " +
+        std::to_string(applied.skipped) + " skipped" });
+  return true;
+}
+
+void
+ViewController::tick(MilliTime now)
+{
+  const auto slots = this->board.registry.tick(now);
+  this->onChanged(slots, now);
+}
+
+void
+ViewController::onChanged(std::span<const TargetSlot> slots, MilliTime /*now*/)
+{
+  if (slots.empty()) {
+    return;
+  }
+  for (const TargetSlot slot : slots) {
+    this->board.pools.update(this->board.routes, this->board.registry, slot);
+    this->report(slot);
+  }
+  this->board.tags.rebuild(this->board.registry);
+}
+
+void
+ViewController::report(TargetSlot slot)
+{
+  const KnownTarget& target = this->board.registry.at(slot);
+  if (!target.used) {
+    this->board.observer.forgetTarget(slot);
+    return;
+  }
+  TagEventKind kind = TagEventKind::targetListed;
+  if (target.presence == TargetPresence::gone) {
+    kind = TagEventKind::targetGone;
+  } else if (target.presence == TargetPresence::lapsed) {
+    kind = TagEventKind::targetLapsed;
+  } else if (target.record.state == TargetState::draining) {
+    kind = TagEventKind::targetDraining;
+  }
+  const auto service = target.record.labels.find("service");
+  const std::string note =
+    service == target.record.labels.end() ? std::string() : service->second;
+  this->board.events.push_back(
+    { kind, target.record.id, target.revision, 0, note });
+}
+
+}
