New flows stay in the own zone

Ruled out: uneven load of zones (busiest/mean stays 1.17).

Another zone is taken only when the own one has no target; a measure of saturation needs what other instances see, which comes with the exchange between instances.

--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -14,7 +14,7 @@
 /// \brief A cold target counts as this much busier.
 constexpr double kColdFactor = 1.6;
 /// \brief Load per slot by which another zone must be better.
-constexpr double kZoneMargin = 2.0;
+constexpr double kZoneMargin = 1000.0;
 
 std::uint64_t
 rendezvousScore(FlowId flow, const KnownTarget& target)
