Instances exchange views, ages and loads; one of a zone reads the store

Peers find each other through seeds and hearsay. News of the store are pushed to the zone and to one instance of each other zone; whoever is older asks. Sealing of datagrams is shared with the owners' way (PeerSeal, CompactCodec).

--- /dev/null
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -0,0 +1,199 @@
+#include "FleetCodec.h"
+
+#include "../Core/Hash.h"
+#include "../Peer/CompactCodec.h"
+#include "ViewWire.h"
+#include "generated/fleet_types.h"
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::uint8_t kFleetWireVersion = 1;
+/// \brief A sender's tag changes with its run, so counters start anew.
+constexpr std::uint64_t kFirstCounter = 0;
+
+fleetwire::Member
+toWire(const FleetMember& member)
+{
+  fleetwire::Member out;
+  out.id = member.id;
+  out.zone = member.zone;
+  out.address = formatEndpoint(member.address);
+  out.incarnation = static_cast<std::int64_t>(member.incarnation);
+  out.stopping = member.stopping;
+  return out;
+}
+
+bool
+fromWire(const fleetwire::Member& in, FleetMember& out)
+{
+  const auto address = parseEndpoint(in.address);
+  if (!address) {
+    return false;
+  }
+  out.id = in.id;
+  out.zone = in.zone;
+  out.address = *address;
+  out.incarnation = static_cast<std::uint64_t>(in.incarnation);
+  out.stopping = in.stopping;
+  return true;
+}
+
+fleetwire::TargetReport
+toWire(const TargetReport& report)
+{
+  fleetwire::TargetReport out;
+  out.number = static_cast<std::int64_t>(report.number);
+  out.flows = report.flows;
+  out.busy = report.busy;
+  out.silentFlows = report.silentFlows;
+  out.sinceProgressMs = toWireMs(report.sinceProgress);
+  out.dead = report.dead;
+  return out;
+}
+
+TargetReport
+fromWire(const fleetwire::TargetReport& in)
+{
+  TargetReport out;
+  out.number = static_cast<std::uint64_t>(in.number);
+  out.flows = std::max(in.flows, 0);
+  out.busy = std::max(in.busy, 0);
+  out.silentFlows = std::max(in.silentFlows, 0);
+  out.sinceProgress.ms = in.sinceProgressMs;
+  out.dead = in.dead;
+  return out;
+}
+
+/// \brief Writes each kind of body into the Thrift union.
+struct FleetBodyWriter
+{
+  fleetwire::Body& out;
+
+  void operator()(const FleetHeartbeat& body) const
+  {
+    fleetwire::Heartbeat heartbeat;
+    heartbeat.view = toWire(body.view);
+    for (const FleetMember& member : body.members) {
+      heartbeat.members.push_back(toWire(member));
+    }
+    for (const TargetReport& report : body.reports) {
+      heartbeat.reports.push_back(toWire(report));
+    }
+    this->out.__set_heartbeat(heartbeat);
+  }
+
+  void operator()(const ViewRequest& body) const
+  {
+    fleetwire::ViewRequest request;
+    request.targetsRevision = static_cast<std::int64_t>(body.targetsRevision);
+    request.routesVersion = static_cast<std::int64_t>(body.routesVersion);
+    this->out.__set_viewRequest(request);
+  }
+
+  void operator()(const ViewPart& body) const
+  {
+    fleetwire::ViewPart part;
+    part.transfer = static_cast<std::int64_t>(body.transfer);
+    part.offset = static_cast<std::int32_t>(body.offset);
+    part.total = static_cast<std::int32_t>(body.total);
+    part.bytes = body.bytes;
+    this->out.__set_viewPart(part);
+  }
+};
+
+bool
+readHeartbeat(const fleetwire::Heartbeat& in, FleetHeartbeat& out)
+{
+  out.view = fromWire(in.view);
+  for (const fleetwire::Member& member : in.members) {
+    FleetMember known;
+    if (!fromWire(member, known)) {
+      return false;
+    }
+    out.members.push_back(std::move(known));
+  }
+  for (const fleetwire::TargetReport& report : in.reports) {
+    out.reports.push_back(fromWire(report));
+  }
+  return true;
+}
+
+bool
+readFleetBody(const fleetwire::Body& in, FleetMessage& out)
+{
+  if (in.__isset.heartbeat) {
+    return readHeartbeat(in.heartbeat, out.body.emplace<FleetHeartbeat>());
+  }
+  if (in.__isset.viewRequest) {
+    auto& request = out.body.emplace<ViewRequest>();
+    request.targetsRevision =
+      static_cast<std::uint64_t>(in.viewRequest.targetsRevision);
+    request.routesVersion =
+      static_cast<std::uint64_t>(in.viewRequest.routesVersion);
+    return true;
+  }
+  if (!in.__isset.viewPart || in.viewPart.offset < 0 || in.viewPart.total < 0) {
+    return false;
+  }
+  auto& part = out.body.emplace<ViewPart>();
+  part.transfer = static_cast<std::uint64_t>(in.viewPart.transfer);
+  part.offset = static_cast<std::uint32_t>(in.viewPart.offset);
+  part.total = static_cast<std::uint32_t>(in.viewPart.total);
+  part.bytes = in.viewPart.bytes;
+  return true;
+}
+
+std::uint32_t
+senderTag(const FleetMember& sender)
+{
+  return static_cast<std::uint32_t>(
+    mixWords(hashText(sender.id), sender.incarnation));
+}
+
+}
+
+FleetCodec::FleetCodec(const FleetKey& key)
+  : authenticator(key, internal::kFleetWireVersion, internal::kFirstCounter)
+{
+}
+
+std::vector<std::uint8_t>
+FleetCodec::seal(const FleetMessage& message)
+{
+  return this->authenticator.seal(internal::senderTag(message.sender),
+                                  encodeFleetMessage(message));
+}
+
+PeerFault
+FleetCodec::open(std::span<const std::uint8_t> datagram, FleetMessage& message)
+{
+  SealedBody body;
+  const PeerFault fault = this->authenticator.open(datagram, body);
+  if (fault != PeerFault::none) {
+    return fault;
+  }
+  const bool isGood = decodeFleetMessage(body.bytes, message) &&
+                      internal::senderTag(message.sender) == body.sender;
+  return isGood ? PeerFault::none : PeerFault::malformed;
+}
+
+std::string
+encodeFleetMessage(const FleetMessage& message)
+{
+  fleetwire::Envelope envelope;
+  envelope.sender = internal::toWire(message.sender);
+  std::visit(internal::FleetBodyWriter{ envelope.body }, message.body);
+  return internal::encodeCompact(envelope);
+}
+
+bool
+decodeFleetMessage(std::span<const std::uint8_t> bytes, FleetMessage& message)
+{
+  fleetwire::Envelope envelope;
+  return internal::decodeCompact(bytes, envelope) &&
+         internal::fromWire(envelope.sender, message.sender) &&
+         internal::readFleetBody(envelope.body, message);
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -0,0 +1,88 @@
+#ifndef BUCKTHORNWING_FLEET_CONTROLLER_H
+#define BUCKTHORNWING_FLEET_CONTROLLER_H
+
+#include "../Steering/ViewController.h"
+#include "FleetMembers.h"
+#include "ViewTransfer.h"
+
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief A message on its way to a peer.
+struct OutgoingFleetMessage
+{
+  Endpoint to;
+  FleetMessage message;
+};
+
+/// \brief Keeps up with the peers: who lives, what they see, and whose view of
+/// targets and routes is newer.
+class FleetController
+{
+public:
+  FleetController(TagBoard& board, ViewController& view);
+
+  void onMessage(const FleetMessage& message, MilliTime now);
+
+  /// \brief Sends what is due.
+  void tick(MilliTime now);
+
+  /// \brief Tells peers at once if this instance learned something from the
+  /// store.
+  void pushView(MilliTime now);
+
+  /// \returns whether this instance reads the store. One instance of a zone
+  /// does; others join in when the view grows old in spite of it.
+  bool shouldReadStore(MilliTime now) const;
+
+  void setStopping() { this->members.setStopping(); }
+  const FleetMembers& fleet() const { return this->members; }
+  std::vector<OutgoingFleetMessage>& outgoing() { return this->outbox; }
+
+private:
+  TagBoard& board;
+  ViewController& view;
+  FleetMembers members;
+  ViewTransfers transfers;
+  std::vector<OutgoingFleetMessage> outbox;
+  std::uint64_t pushedTargets = 0;
+  std::uint64_t pushedRoutes = 0;
+  std::uint64_t nextTransfer = 1;
+  std::size_t nextReport = 0;
+  MilliTime nextZoneBeat{};
+  MilliTime nextFarBeat{};
+  MilliTime nextSeedBeat{};
+  MilliTime nextRequest{};
+
+  void onBody(const FleetHeartbeat& body,
+              const FleetMember& sender,
+              MilliTime now);
+  void onBody(const ViewRequest& body,
+              const FleetMember& sender,
+              MilliTime now);
+  void onBody(const ViewPart& body, const FleetMember& sender, MilliTime now);
+  void onUpdate(const ViewUpdate& update,
+                const FleetMember& sender,
+                MilliTime now);
+  void confirmView(const ViewVersions& peer, MilliTime now);
+  void askIfOlder(const ViewVersions& peer, const Endpoint& from, MilliTime now);
+  void takeReports(KnownMember& member,
+                   const FleetHeartbeat& body,
+                   MilliTime now);
+  void sumReports(MilliTime now);
+  ViewVersions ownView(MilliTime now) const;
+  FleetHeartbeat heartbeat(MilliTime now);
+  std::vector<TargetReport> nextReports(MilliTime now);
+  void sendHeartbeat(const Endpoint& to, MilliTime now);
+  void sendUpdate(const Endpoint& to, const std::string& encoded);
+  std::string encodeUpdate(std::uint64_t targetsSince,
+                           std::uint64_t routesSince,
+                           MilliTime now) const;
+  template<typename Body>
+  void send(const Endpoint& to, Body body);
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -0,0 +1,81 @@
+#ifndef BUCKTHORNWING_FLEET_MEMBERS_H
+#define BUCKTHORNWING_FLEET_MEMBERS_H
+
+#include "../Core/Random.h"
+#include "FleetMessage.h"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <map>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief A report of a target with the time at which it was received.
+struct ReceivedReport
+{
+  TargetReport report;
+  MilliTime at{};
+};
+
+/// \brief What an instance knows of a peer.
+struct KnownMember
+{
+  FleetMember member;
+  bool heard = false;  ///< a message of its own came in
+  MilliTime heardAt{}; ///< or, before that, when it was heard of
+  ViewVersions view;
+  boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
+};
+
+/// \brief The peers of an instance, found through seeds and spread by hearsay.
+class FleetMembers
+{
+public:
+  /// \brief A member that was not heard for so long is taken for lost.
+  static constexpr MilliDuration kLostAfter{ 1200 };
+
+  explicit FleetMembers(FleetMember self)
+    : self(std::move(self))
+  {
+  }
+
+  /// \brief Notes a message of a member.
+  /// \returns the member, or null if it is this instance itself
+  KnownMember* hear(const FleetMember& sender, MilliTime now);
+
+  /// \brief Notes that a peer knows a member.
+  void hearOf(const FleetMember& member, MilliTime now);
+
+  /// \brief Forgets members that were silent for long.
+  void forgetSilent(MilliTime now);
+
+  bool isLive(const KnownMember& member, MilliTime now) const;
+
+  /// \returns up to \a count random members of the own zone, or of others.
+  std::vector<const KnownMember*> sample(bool ownZone,
+                                         std::size_t count,
+                                         Random& random) const;
+
+  /// \returns this instance's place among the live members of its zone, in an
+  /// order that all of them compute alike; 0 is first.
+  std::size_t rankInZone(MilliTime now) const;
+
+  /// \returns one live member for each other zone.
+  std::vector<const KnownMember*> oneInEachOtherZone(MilliTime now,
+                                                     Random& random) const;
+
+  std::size_t liveCount(MilliTime now) const;
+
+  const FleetMember& own() const { return this->self; }
+  void setStopping() { this->self.stopping = true; }
+  std::map<Endpoint, KnownMember>& all() { return this->members; }
+  const std::map<Endpoint, KnownMember>& all() const { return this->members; }
+
+private:
+  FleetMember self;
+  std::map<Endpoint, KnownMember> members;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -0,0 +1,92 @@
+#ifndef BUCKTHORNWING_FLEET_MESSAGE_H
+#define BUCKTHORNWING_FLEET_MESSAGE_H
+
+#include "../View/Route.h"
+#include "../View/TargetRecord.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief An instance as its peers know it.
+struct FleetMember
+{
+  std::string id;
+  std::string zone;
+  Endpoint address;
+  std::uint64_t incarnation = 0; ///< differs for each run of a process
+  bool stopping = false;
+
+  bool operator==(const FleetMember&) const = default;
+};
+
+/// \brief How new an instance's view is.
+struct ViewVersions
+{
+  std::uint64_t targetsRevision = 0;
+  std::uint64_t routesVersion = 0;
+  std::uint64_t routesRevision = 0;
+  MilliDuration targetsAge{}; ///< since the store confirmed them
+  MilliDuration routesAge{};
+  MilliDuration unwellAgo{}; ///< since the store last failed someone
+};
+
+/// \brief What one instance sees of one target.
+struct TargetReport
+{
+  std::uint64_t number = 0; ///< of the target
+  std::int32_t flows = 0;
+  std::int32_t busy = 0;
+  std::int32_t silentFlows = 0;
+  MilliDuration sinceProgress{};
+  bool dead = false; ///< a probe found that it does not answer
+};
+
+/// \brief Sent some times a second to a few members.
+struct FleetHeartbeat
+{
+  ViewVersions view;
+  std::vector<FleetMember> members; ///< a sample of those it knows
+  std::vector<TargetReport> reports;
+};
+
+/// \brief Asks for what is newer than the sender's view.
+struct ViewRequest
+{
+  std::uint64_t targetsRevision = 0;
+  std::uint64_t routesVersion = 0;
+};
+
+/// \brief A part of an encoded ViewUpdate.
+struct ViewPart
+{
+  std::uint64_t transfer = 0; ///< names the update among the sender's
+  std::uint32_t offset = 0;
+  std::uint32_t total = 0;
+  std::string bytes;
+};
+
+/// \brief Everything that a receiver with the base revision lacks.
+struct ViewUpdate
+{
+  ViewVersions view;
+  std::uint64_t targetsBase = 0;
+  bool isFull = false;
+  std::vector<TargetChange> targets;
+  std::optional<RouteTable> routes;
+};
+
+/// \brief A message between instances.
+struct FleetMessage
+{
+  FleetMember sender;
+  std::variant<FleetHeartbeat, ViewRequest, ViewPart> body;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -0,0 +1,226 @@
+#include "ViewWire.h"
+
+#include "../Peer/CompactCodec.h"
+#include "FleetCodec.h"
+
+namespace buckthornwing {
+namespace internal {
+
+fleetwire::ViewVersions
+toWire(const ViewVersions& view)
+{
+  fleetwire::ViewVersions out;
+  out.targetsRevision = static_cast<std::int64_t>(view.targetsRevision);
+  out.routesVersion = static_cast<std::int64_t>(view.routesVersion);
+  out.routesRevision = static_cast<std::int64_t>(view.routesRevision);
+  out.targetsAgeMs = toWireMs(view.targetsAge);
+  out.routesAgeMs = toWireMs(view.routesAge);
+  out.unwellAgoMs = toWireMs(view.unwellAgo);
+  return out;
+}
+
+ViewVersions
+fromWire(const fleetwire::ViewVersions& in)
+{
+  ViewVersions out;
+  out.targetsRevision = static_cast<std::uint64_t>(in.targetsRevision);
+  out.routesVersion = static_cast<std::uint64_t>(in.routesVersion);
+  out.routesRevision = static_cast<std::uint64_t>(in.routesRevision);
+  out.targetsAge.ms = std::max(in.targetsAgeMs, 0);
+  out.routesAge.ms = std::max(in.routesAgeMs, 0);
+  out.unwellAgo.ms = std::max(in.unwellAgoMs, 0);
+  return out;
+}
+
+fleetwire::Target
+toWire(const TargetChange& change)
+{
+  fleetwire::Target out;
+  out.id = change.id;
+  out.revision = static_cast<std::int64_t>(change.revision);
+  out.kind = static_cast<std::int8_t>(change.kind);
+  if (change.kind != ChangeKind::listed) {
+    return out;
+  }
+  const TargetRecord& record = change.record;
+  out.number = static_cast<std::int64_t>(record.number);
+  out.address = formatEndpoint(record.address);
+  out.zone = record.zone;
+  for (const auto& [key, value] : record.labels) {
+    fleetwire::Label label;
+    label.key = key;
+    label.value = value;
+    out.labels.push_back(std::move(label));
+  }
+  out.slots = static_cast<std::int32_t>(record.slots);
+  out.state = static_cast<std::int8_t>(record.state);
+  out.slowForMs = toWireMs(record.slowFor);
+  out.incarnation = static_cast<std::int64_t>(record.incarnation);
+  return out;
+}
+
+bool
+fromWire(const fleetwire::Target& in, TargetChange& out)
+{
+  if (in.kind < 0 || in.kind > static_cast<std::int8_t>(ChangeKind::gone)) {
+    return false;
+  }
+  out.id = in.id;
+  out.revision = static_cast<std::uint64_t>(in.revision);
+  out.kind = static_cast<ChangeKind>(in.kind);
+  if (out.kind != ChangeKind::listed) {
+    return true;
+  }
+  const auto address = parseEndpoint(in.address);
+  const bool isKnownState =
+    in.state >= 0 && in.state <= static_cast<std::int8_t>(TargetState::draining);
+  if (!address || !isKnownState || in.slots < 0) {
+    return false;
+  }
+  out.record.id = in.id;
+  out.record.number = static_cast<std::uint64_t>(in.number);
+  out.record.address = *address;
+  out.record.zone = in.zone;
+  for (const fleetwire::Label& label : in.labels) {
+    out.record.labels[label.key] = label.value;
+  }
+  out.record.slots = static_cast<std::uint32_t>(in.slots);
+  out.record.state = static_cast<TargetState>(in.state);
+  out.record.slowFor.ms = std::max(in.slowForMs, 0);
+  out.record.incarnation = static_cast<std::uint64_t>(in.incarnation);
+  return true;
+}
+
+fleetwire::Route
+toWire(const Route& route)
+{
+  fleetwire::Route out;
+  out.name = route.name;
+  out.destination = formatEndpoint(route.destination);
+  out.kind = static_cast<std::int8_t>(route.kind);
+  out.timeoutMs = toWireMs(route.timeout);
+  out.latencyObjectiveMs = toWireMs(route.latencyObjective);
+  out.priority = static_cast<std::int32_t>(route.priority);
+  for (const WeightedService& share : route.services) {
+    fleetwire::Share wireShare;
+    wireShare.slot = static_cast<std::int32_t>(share.service);
+    wireShare.weight = static_cast<std::int32_t>(share.weight);
+    out.services.push_back(wireShare);
+  }
+  return out;
+}
+
+bool
+fromWire(const fleetwire::Route& in, std::size_t serviceCount, Route& out)
+{
+  const auto destination = parseEndpoint(in.destination);
+  const bool isKnownKind =
+    in.kind >= 0 && in.kind <= static_cast<std::int8_t>(RouteKind::download);
+  if (!destination || !isKnownKind) {
+    return false;
+  }
+  out.name = in.name;
+  out.destination = *destination;
+  out.kind = static_cast<RouteKind>(in.kind);
+  out.timeout.ms = in.timeoutMs;
+  out.latencyObjective.ms = in.latencyObjectiveMs;
+  out.priority = static_cast<std::uint32_t>(in.priority);
+  for (const fleetwire::Share& share : in.services) {
+    const auto slot = static_cast<ServiceSlot>(share.slot);
+    if (slot >= serviceCount || share.weight < 0) {
+      return false;
+    }
+    out.services.push_back({ slot, static_cast<std::uint32_t>(share.weight) });
+  }
+  return true;
+}
+
+fleetwire::RouteTable
+toWire(const RouteTable& table)
+{
+  fleetwire::RouteTable out;
+  out.version = static_cast<std::int64_t>(table.version);
+  out.revision = static_cast<std::int64_t>(table.revision);
+  out.idleTimeoutMs = toWireMs(table.idleTimeout);
+  for (const SelectedService& service : table.services) {
+    fleetwire::Service wireService;
+    wireService.name = service.name;
+    wireService.selector = formatSelector(service.selector);
+    wireService.healthPath = service.healthPath;
+    out.services.push_back(std::move(wireService));
+  }
+  for (const Route& route : table.routes) {
+    out.routes.push_back(toWire(route));
+  }
+  return out;
+}
+
+bool
+fromWire(const fleetwire::RouteTable& in, RouteTable& out)
+{
+  out.version = static_cast<std::uint64_t>(in.version);
+  out.revision = static_cast<std::uint64_t>(in.revision);
+  out.idleTimeout.ms = in.idleTimeoutMs;
+  for (const fleetwire::Service& service : in.services) {
+    auto parsed = parseSelector(service.selector);
+    auto* selector = std::get_if<Selector>(&parsed);
+    if (selector == nullptr) {
+      return false;
+    }
+    out.services.push_back(
+      { service.name, std::move(*selector), service.healthPath });
+  }
+  for (const fleetwire::Route& route : in.routes) {
+    Route parsed;
+    if (!fromWire(route, out.services.size(), parsed)) {
+      return false;
+    }
+    out.routes.push_back(std::move(parsed));
+  }
+  return true;
+}
+
+}
+
+std::string
+encodeViewUpdate(const ViewUpdate& update)
+{
+  fleetwire::ViewUpdate out;
+  out.view = internal::toWire(update.view);
+  out.targetsBase = static_cast<std::int64_t>(update.targetsBase);
+  out.isFull = update.isFull;
+  for (const TargetChange& change : update.targets) {
+    out.targets.push_back(internal::toWire(change));
+  }
+  if (update.routes) {
+    out.__set_routes(internal::toWire(*update.routes));
+  }
+  return internal::encodeCompact(out);
+}
+
+std::optional<ViewUpdate>
+decodeViewUpdate(std::span<const std::uint8_t> bytes)
+{
+  fleetwire::ViewUpdate in;
+  if (!internal::decodeCompact(bytes, in)) {
+    return std::nullopt;
+  }
+  ViewUpdate out;
+  out.view = internal::fromWire(in.view);
+  out.targetsBase = static_cast<std::uint64_t>(in.targetsBase);
+  out.isFull = in.isFull;
+  for (const fleetwire::Target& target : in.targets) {
+    TargetChange change;
+    if (!internal::fromWire(target, change)) {
+      return std::nullopt;
+    }
+    out.targets.push_back(std::move(change));
+  }
+  if (in.__isset.routes &&
+      !internal::fromWire(in.routes, out.routes.emplace())) {
+    return std::nullopt;
+  }
+  return out;
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -0,0 +1,116 @@
+// Messages between instances before a tagging fabric. The C++ code under
+// generated/ is made from this file by scripts/generate-code and is committed.
+namespace cpp buckthornwing.fleetwire
+
+struct Member {
+  1: string id
+  2: string zone
+  3: string address
+  4: i64 incarnation
+  5: bool stopping
+}
+
+struct ViewVersions {
+  1: i64 targetsRevision
+  2: i64 routesVersion
+  3: i64 routesRevision
+  4: i32 targetsAgeMs
+  5: i32 routesAgeMs
+  6: i32 unwellAgoMs
+}
+
+struct TargetReport {
+  1: i64 number
+  2: i32 flows
+  3: i32 busy
+  4: i32 silentFlows
+  5: i32 sinceProgressMs
+  6: bool dead
+}
+
+struct Heartbeat {
+  1: ViewVersions view
+  2: list<Member> members
+  3: list<TargetReport> reports
+}
+
+struct ViewRequest {
+  1: i64 targetsRevision
+  2: i64 routesVersion
+}
+
+struct Label {
+  1: string key
+  2: string value
+}
+
+struct Target {
+  1: string id
+  2: i64 revision
+  3: i8 kind
+  4: i64 number
+  5: string address
+  6: string zone
+  7: list<Label> labels
+  8: i32 slots
+  9: i8 state
+  10: i32 slowForMs
+  11: i64 incarnation
+}
+
+struct Share {
+  1: i32 slot
+  2: i32 weight
+}
+
+struct Route {
+  1: string name
+  2: string destination
+  3: i8 kind
+  4: i32 timeoutMs
+  5: i32 latencyObjectiveMs
+  6: i32 priority
+  7: list<Share> services
+}
+
+struct Service {
+  1: string name
+  2: string selector
+  3: string healthPath
+}
+
+struct RouteTable {
+  1: i64 version
+  2: i64 revision
+  3: i32 idleTimeoutMs
+  4: list<Service> services
+  5: list<Route> routes
+}
+
+// Everything that a receiver with the base revision lacks.
+struct ViewUpdate {
+  1: ViewVersions view
+  2: i64 targetsBase
+  3: bool isFull
+  4: list<Target> targets
+  5: optional RouteTable routes
+}
+
+// A part of an encoded ViewUpdate.
+struct ViewPart {
+  1: i64 transfer
+  2: i32 offset
+  3: i32 total
+  4: binary bytes
+}
+
+union Body {
+  1: Heartbeat heartbeat
+  2: ViewRequest viewRequest
+  3: ViewPart viewPart
+}
+
+struct Envelope {
+  1: Member sender
+  2: Body body
+}
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -1,5 +1,6 @@
 #include "TagReport.h"
 
+#include "../Peer/PeerSeal.h"
 #include "MetricsWriter.h"
 
 #include <boost/json.hpp>
@@ -46,6 +47,17 @@
                 "counter",
                 "Datagrams that the kernel did not take",
                 host.sendsLost);
+  writer.family("peer_faults_total", "counter", "Peer datagrams not taken");
+  for (std::size_t i = 1; i < host.peerFaults.size(); ++i) {
+    const auto fault = static_cast<PeerFault>(i);
+    writer.sample("peer_faults_total",
+                  host.peerFaults[i],
+                  label("fault", peerFaultName(fault)));
+  }
+  writer.single("peer_bytes_sent_total",
+                "counter",
+                "Bytes sent to other instances",
+                host.peerBytesSent);
   writer.single("store_calls_total",
                 "counter",
                 "Calls to the platform's store",
--- a/buckthornwing/src/Io/TagReport.h
+++ b/buckthornwing/src/Io/TagReport.h
@@ -15,6 +15,9 @@
   std::array<std::uint64_t, kPacketFaultCount> faults{};
   std::uint64_t notHeld = 0;   ///< packets dropped because too many wait
   std::uint64_t sendsLost = 0; ///< datagrams that the kernel did not take
+  std::array<std::uint64_t, 8> peerFaults{}; ///< by PeerFault
+  std::uint64_t peerBytesSent = 0;
+  std::uint64_t peerBytesReceived = 0;
   std::uint64_t storeCalls = 0;
   std::uint64_t storeFailures = 0;
   std::uint64_t logLinesLost = 0;
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_TAG_SERVER_H
 #define BUCKTHORNWING_TAG_SERVER_H
 
+#include "../Fleet/FleetCodec.h"
 #include "../Steering/TagEngine.h"
 #include "HeldPackets.h"
 #include "HttpServer.h"
@@ -55,6 +56,8 @@
     : context(context)
     , settings(std::move(newSettings))
     , packets(context)
+    , peers(context)
+    , codec(deriveFleetKey(settings.fleetKey))
     , ready(context)
     , operators(context)
     , jsonLog({})
@@ -70,12 +73,15 @@
   {
     BOOST_LEAF_CHECK(
       this->packets.open(this->settings.packetAddress, "bind packet socket"));
+    BOOST_LEAF_CHECK(
+      this->peers.open(this->settings.tag.peerAddress, "bind peer socket"));
     BOOST_LEAF_CHECK(
       this->ready.open(this->settings.readyAddress, "bind readiness socket"));
     BOOST_LEAF_CHECK(this->operators.open(this->settings.operatorsAddress,
                                           "bind operators' socket"));
     this->log.note("start", "zone " + this->settings.tag.zone);
     this->packets.start([this](auto datagram) { this->onDatagram(datagram); });
+    this->peers.start([this](auto datagram) { this->onPeer(datagram); });
     const auto handler = [this](const std::string& target,
                                 const HttpServer::Respond& respond) {
       respond(this->serve(target));
@@ -125,6 +131,8 @@
   boost::asio::io_context& context;
   TagServerSettings settings;
   UdpSocket packets;
+  UdpSocket peers;
+  FleetCodec codec;
   HttpServer ready;
   HttpServer operators;
   JsonLog jsonLog;
@@ -193,10 +201,33 @@
     this->counters.sendsLost += this->packets.send(bytes, to) ? 0 : 1;
   }
 
+  void onPeer(std::span<const std::uint8_t> datagram)
+  {
+    FleetMessage message;
+    const PeerFault fault = this->codec.open(datagram, message);
+    if (fault != PeerFault::none) {
+      ++this->counters.peerFaults[static_cast<std::size_t>(fault)];
+      return;
+    }
+    this->counters.peerBytesReceived += datagram.size();
+    this->engine.onFleetMessage(message, bootTime());
+    this->afterInput();
+  }
+
+  void flushPeers()
+  {
+    for (const OutgoingFleetMessage& outgoing : this->engine.takeOutgoing()) {
+      const auto datagram = this->codec.seal(outgoing.message);
+      this->counters.peerBytesSent += datagram.size();
+      this->peers.send(datagram, outgoing.to);
+    }
+  }
+
   /// \brief Called after each input from the platform or a peer.
   void afterInput()
   {
     const MilliTime now = bootTime();
+    this->flushPeers();
     for (const TagEvent& event : this->engine.takeEvents()) {
       this->log.change(this->engine.board(), event, now);
     }
@@ -244,6 +275,7 @@
     this->log.note("stop", "no packets are under way");
     this->source.stop();
     this->packets.close();
+    this->peers.close();
     this->ready.close();
     this->operators.close();
     this->context.stop();
--- a/buckthornwing/src/Observation/TargetLoad.h
+++ b/buckthornwing/src/Observation/TargetLoad.h
@@ -14,9 +14,11 @@
   std::int32_t busy = 0;     ///< requests in progress on them
   double serviceMs = 0;      ///< moving mean time to the first answer
   MilliTime progressAt{};    ///< last sign that the target answers
-  std::uint32_t silentFlows = 0; ///< flows with repeats and no progress
+  std::int32_t silentFlows = 0; ///< flows with repeats and no progress
+  bool dead = false;         ///< a probe found that it does not answer
   double peerFlows = 0;      ///< sum of what other instances reported
   double peerBusy = 0;
+  MilliTime peerProgressAt{};
 };
 
 }
--- a/buckthornwing/src/Peer/PeerCodec.cpp
+++ b/buckthornwing/src/Peer/PeerCodec.cpp
@@ -1,25 +1,15 @@
 #include "PeerCodec.h"
 
+#include "CompactCodec.h"
 #include "generated/peer_types.h"
 
 #include <cstring>
 #include <limits>
-#include <sodium.h>
-#include <thrift/protocol/TCompactProtocol.h>
-#include <thrift/transport/TBufferTransports.h>
 
 namespace buckthornwing {
 namespace internal {
 
-using apache::thrift::protocol::TCompactProtocolT;
-using apache::thrift::transport::TMemoryBuffer;
-
 constexpr std::uint8_t kWireVersion = 1;
-constexpr std::size_t kPrefixBytes = 1 + sizeof(MemberTag) + 8;
-constexpr std::size_t kTagBytes = 16;
-/// \brief Bounds on what a hostile envelope can make the decoder allocate.
-constexpr std::int32_t kMostStringBytes = 64 * 1024;
-constexpr std::int32_t kMostElements = 4096;
 
 std::int32_t
 toSigned(std::uint32_t value)
@@ -293,70 +283,6 @@
   return false;
 }
 
-template<typename Integer>
-void
-appendInteger(std::vector<std::uint8_t>& out, Integer value)
-{
-  for (std::size_t i = 0; i < sizeof value; ++i) {
-    out.push_back(static_cast<std::uint8_t>(value >> (8 * i)));
-  }
-}
-
-template<typename Integer>
-Integer
-readInteger(std::span<const std::uint8_t> bytes)
-{
-  Integer value = 0;
-  for (std::size_t i = 0; i < sizeof value; ++i) {
-    value |= static_cast<Integer>(bytes[i]) << (8 * i);
-  }
-  return value;
-}
-
-void
-authenticate(std::span<const std::uint8_t> bytes,
-             const FleetKey& key,
-             std::array<std::uint8_t, kTagBytes>& tag)
-{
-  crypto_generichash(
-    tag.data(), tag.size(), bytes.data(), bytes.size(), key.data(), key.size());
-}
-
-}
-
-FleetKey
-deriveFleetKey(std::string_view secret)
-{
-  FleetKey key{};
-  crypto_generichash(key.data(),
-                     key.size(),
-                     reinterpret_cast<const unsigned char*>(secret.data()),
-                     secret.size(),
-                     nullptr,
-                     0);
-  return key;
-}
-
-std::string_view
-peerFaultName(PeerFault fault)
-{
-  switch (fault) {
-    case PeerFault::none:
-      return "none";
-    case PeerFault::truncated:
-      return "truncated";
-    case PeerFault::oversized:
-      return "oversized";
-    case PeerFault::unknownVersion:
-      return "unknown_version";
-    case PeerFault::notAuthentic:
-      return "not_authentic";
-    case PeerFault::replayed:
-      return "replayed";
-    case PeerFault::malformed:
-      return "malformed";
-  }
-  return "unknown";
 }
 
 std::string
@@ -369,25 +295,14 @@
   envelope.header.statesVersion =
     internal::toSigned(message.header.statesVersion);
   std::visit(internal::BodyWriter{ envelope.body }, message.body);
-  auto buffer = std::make_shared<internal::TMemoryBuffer>();
-  internal::TCompactProtocolT<internal::TMemoryBuffer> protocol(buffer);
-  envelope.write(&protocol);
-  return buffer->getBufferAsString();
+  return internal::encodeCompact(envelope);
 }
 
 bool
 decodeEnvelope(std::span<const std::uint8_t> bytes, PeerMessage& message)
 {
-  // Thrift takes a mutable pointer but only observes it.
-  auto* start = const_cast<std::uint8_t*>(bytes.data());
   wire::Envelope envelope;
-  try {
-    auto buffer = std::make_shared<internal::TMemoryBuffer>(
-      start, static_cast<std::uint32_t>(bytes.size()));
-    internal::TCompactProtocolT<internal::TMemoryBuffer> protocol(
-      buffer, internal::kMostStringBytes, internal::kMostElements);
-    envelope.read(&protocol);
-  } catch (const std::exception&) {
+  if (!internal::decodeCompact(bytes, envelope)) {
     return false;
   }
   const wire::Header& header = envelope.header;
@@ -400,56 +315,28 @@
 }
 
 PeerCodec::PeerCodec(const FleetKey& key, std::uint64_t firstCounter)
-  : key(key)
-  , counter(firstCounter)
+  : authenticator(key, internal::kWireVersion, firstCounter)
 {
 }
 
 std::vector<std::uint8_t>
 PeerCodec::seal(const PeerMessage& message)
 {
-  const std::string envelope = encodeEnvelope(message);
-  std::vector<std::uint8_t> datagram;
-  datagram.reserve(internal::kPrefixBytes + envelope.size() +
-                   internal::kTagBytes);
-  datagram.push_back(internal::kWireVersion);
-  internal::appendInteger(datagram, message.header.sender);
-  internal::appendInteger(datagram, ++this->counter);
-  datagram.insert(datagram.end(), envelope.begin(), envelope.end());
-  std::array<std::uint8_t, internal::kTagBytes> tag{};
-  internal::authenticate(datagram, this->key, tag);
-  datagram.insert(datagram.end(), tag.begin(), tag.end());
-  return datagram;
+  return this->authenticator.seal(message.header.sender,
+                                  encodeEnvelope(message));
 }
 
 PeerFault
 PeerCodec::open(std::span<const std::uint8_t> datagram, PeerMessage& message)
 {
-  if (datagram.size() < internal::kPrefixBytes + internal::kTagBytes) {
-    return PeerFault::truncated;
-  }
-  if (datagram.size() > kMostPeerDatagramBytes) {
-    return PeerFault::oversized;
-  }
-  if (datagram[0] != internal::kWireVersion) {
-    return PeerFault::unknownVersion;
-  }
-  const auto body = datagram.first(datagram.size() - internal::kTagBytes);
-  std::array<std::uint8_t, internal::kTagBytes> tag{};
-  internal::authenticate(body, this->key, tag);
-  if (sodium_memcmp(tag.data(), &datagram[body.size()], tag.size()) != 0) {
-    return PeerFault::notAuthentic;
-  }
-  const auto sender = internal::readInteger<MemberTag>(body.subspan(1));
-  const auto sent =
-    internal::readInteger<std::uint64_t>(body.subspan(1 + sizeof(MemberTag)));
-  if (!this->windows[sender].accept(sent)) {
-    return PeerFault::replayed;
-  }
-  message.header.sender = sender;
-  return decodeEnvelope(body.subspan(internal::kPrefixBytes), message)
-           ? PeerFault::none
-           : PeerFault::malformed;
+  SealedBody body;
+  const PeerFault fault = this->authenticator.open(datagram, body);
+  if (fault != PeerFault::none) {
+    return fault;
+  }
+  message.header.sender = body.sender;
+  return decodeEnvelope(body.bytes, message) ? PeerFault::none
+                                             : PeerFault::malformed;
 }
 
 }
--- a/buckthornwing/src/Peer/PeerCodec.h
+++ b/buckthornwing/src/Peer/PeerCodec.h
@@ -2,47 +2,17 @@
 #define BUCKTHORNWING_PEER_CODEC_H
 
 #include "PeerMessage.h"
-#include "ReplayWindow.h"
+#include "PeerSeal.h"
 
-#include <array>
 #include <span>
 #include <string>
-#include <string_view>
-#include <unordered_map>
 #include <vector>
 
 namespace buckthornwing {
 
-/// \brief Secret that every instance of a fleet is given in its settings.
-using FleetKey = std::array<std::uint8_t, 32>;
-
-/// \returns the key for a text of any length.
-FleetKey
-deriveFleetKey(std::string_view secret);
-
-/// \brief Why a datagram was not taken as a peer message.
-enum class PeerFault : std::uint8_t
-{
-  none,
-  truncated,
-  oversized,
-  unknownVersion,
-  notAuthentic,
-  replayed,
-  malformed,
-};
-
-/// \returns a stable lower-case name for logs and metrics.
-std::string_view
-peerFaultName(PeerFault fault);
-
-/// \brief Largest datagram between instances; relayed packets fit in it.
-inline constexpr std::size_t kMostPeerDatagramBytes = 10UL * 1024;
-
 /// \brief Seals and opens peer messages of one instance.
 ///
-/// A datagram is: version (1 byte), sender's tag (4), counter (8), the Thrift
-/// compact envelope, and a keyed BLAKE2b tag (16) over all before it.
+/// The body of a sealed datagram is the Thrift compact envelope.
 class PeerCodec
 {
 public:
@@ -58,9 +28,7 @@
   PeerFault open(std::span<const std::uint8_t> datagram, PeerMessage& message);
 
 private:
-  FleetKey key;
-  std::uint64_t counter;
-  std::unordered_map<MemberTag, ReplayWindow> windows;
+  PeerSeal authenticator;
 };
 
 /// \brief Decodes an envelope without authentication; for tests and fuzzing.
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -51,6 +51,8 @@
   /// When the platform, or a peer that had it from there, last confirmed them.
   MilliTime targetsConfirmedAt{};
   MilliTime routesConfirmedAt{};
+  /// The store's revision that news of the routes continue from.
+  std::uint64_t routesRevision = 0;
   bool stopping = false;
   std::vector<TagEvent> events;
 
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -15,6 +15,7 @@
   : state(std::move(settings))
   , view(this->state)
   , steering(this->state)
+  , fleet(this->state, this->view)
 {
 }
 
@@ -42,6 +43,7 @@
   this->noteContact(now);
   this->view.onSnapshot(asOf, listed, now);
   this->state.targetsConfirmedAt = now;
+  this->fleet.pushView(now);
 }
 
 void
@@ -52,6 +54,7 @@
   this->noteContact(now);
   this->view.onChanges(asOf, changes, now);
   this->state.targetsConfirmedAt = now;
+  this->fleet.pushView(now);
 }
 
 void
@@ -66,8 +69,9 @@
 TagEngine::onRoutesConfirmed(std::uint64_t asOf, MilliTime now)
 {
   this->noteContact(now);
-  this->routesAsOf = std::max(this->routesAsOf, asOf);
+  this->state.routesRevision = std::max(this->state.routesRevision, asOf);
   this->state.routesConfirmedAt = now;
+  this->fleet.pushView(now);
 }
 
 void
@@ -89,16 +93,30 @@
   }
   this->lastTick = now;
   this->view.tick(now);
+  this->fleet.tick(now);
   if (now - this->lastSweep >= internal::kSweepPeriod) {
     this->lastSweep = now;
     this->state.observer.sweep(now, this->state.settings.flowIdle);
   }
 }
 
+void
+TagEngine::onFleetMessage(const FleetMessage& message, MilliTime now)
+{
+  this->fleet.onMessage(message, now);
+}
+
 void
 TagEngine::requestStop(MilliTime /*now*/)
 {
   this->state.stopping = true;
+  this->fleet.setStopping();
+}
+
+std::vector<OutgoingFleetMessage>
+TagEngine::takeOutgoing()
+{
+  return std::exchange(this->fleet.outgoing(), {});
 }
 
 std::vector<TagEvent>
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_TAG_ENGINE_H
 #define BUCKTHORNWING_TAG_ENGINE_H
 
+#include "../Fleet/FleetController.h"
 #include "SteeringController.h"
 #include "TagBoard.h"
 #include "ViewController.h"
@@ -34,6 +35,8 @@
   /// \brief Notes that the platform did not answer.
   void onStoreFailure(const std::string& cause, MilliTime now);
 
+  void onFleetMessage(const FleetMessage& message, MilliTime now);
+
   void tick(MilliTime now);
   void requestStop(MilliTime now);
 
@@ -41,14 +44,20 @@
   bool ready() const { return this->state.hasView() && !this->state.stopping; }
 
   const TagBoard& board() const { return this->state; }
-  std::uint64_t routesRevision() const { return this->routesAsOf; }
+  bool shouldReadStore(MilliTime now) const
+  {
+    return this->fleet.shouldReadStore(now);
+  }
+  const FleetMembers& members() const { return this->fleet.fleet(); }
+
   std::vector<TagEvent> takeEvents();
+  std::vector<OutgoingFleetMessage> takeOutgoing();
 
 private:
   TagBoard state;
   ViewController view;
   SteeringController steering;
-  std::uint64_t routesAsOf = 0;
+  FleetController fleet;
   MilliTime lastTick{};
   MilliTime lastSweep{};
   bool storeLost = false;
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -103,11 +103,13 @@
   std::vector<TargetSlot> changed;
   for (const TargetChange& change : changes) {
     TargetSlot slot = kNoTargetSlot;
+    this->changeRevision = std::max(this->changeRevision, change.revision);
     if (this->apply(change, now, slot)) {
       changed.push_back(slot);
     }
   }
-  this->asOfRevision = std::max(this->asOfRevision, asOf);
+  this->asOfRevision =
+    std::max({ this->asOfRevision, asOf, this->changeRevision });
   return changed;
 }
 
@@ -127,11 +129,13 @@
                          target.revision <= asOf && !ids.contains(id);
     if (hasLeft) {
       target.revision = asOf;
+      this->changeRevision = std::max(this->changeRevision, asOf);
       this->remove(target, now);
       changed.push_back(slot);
     }
   }
-  this->asOfRevision = std::max(this->asOfRevision, asOf);
+  this->asOfRevision =
+    std::max({ this->asOfRevision, asOf, this->changeRevision });
   return changed;
 }
 
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -70,7 +70,10 @@
   std::vector<TargetSlot> tick(MilliTime now);
 
   bool loaded() const { return this->asOfRevision > 0; }
+  /// \returns the revision that changes of the registry continue from.
   std::uint64_t revision() const { return this->asOfRevision; }
+  /// \returns the revision of the newest change of a target.
+  std::uint64_t lastChange() const { return this->changeRevision; }
   MilliTime lastUnwell() const { return this->unwellAt; }
 
   std::span<const KnownTarget> targets() const { return this->known; }
@@ -87,6 +90,7 @@
   std::vector<TargetSlot> freeSlots;
   std::map<std::string, TargetSlot, std::less<>> byId;
   std::uint64_t asOfRevision = 0;
+  std::uint64_t changeRevision = 0;
   std::uint64_t forgottenRevision = 0; ///< newest end that was forgotten
   MilliTime unwellAt{ -1000000 };
 
