Silent targets are found by repeated requests, confirmed by probes, and their flows freed

Ruled out: suspicion by silence alone; a trace showed that live targets acknowledge a request at once even in the surge, so a request sent again after 150 ms and more is strong evidence, and a probe settles it. Change: suspicion keeps new flows away; two silent probes or one refused make a target dead; idle flows and repeatable requests are reset, others wait.

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -65,7 +65,9 @@
     const auto slot =
       static_cast<TargetSlot>((this->nextReport + i) % count);
     const TargetLoad& load = this->board.observer.load(slot);
-    if (load.flows == 0 && load.busy == 0 && !load.dead) {
+    const bool isDead =
+      this->board.healthState(slot) == HealthState::dead;
+    if (load.flows == 0 && load.busy == 0 && !isDead) {
       continue;
     }
     if (reports.size() == internal::kReportsTold) {
@@ -77,7 +79,7 @@
                         load.busy,
                         load.silentFlows,
                         now - load.progressAt,
-                        load.dead });
+                        isDead });
   }
   return reports;
 }
@@ -271,6 +273,9 @@
 {
   for (const TargetReport& report : body.reports) {
     member.reports[report.number] = ReceivedReport{ report, now };
+    if (report.dead && member.member.zone == this->members.own().zone) {
+      this->foundDead.push_back(report.number);
+    }
   }
 }
 
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -5,6 +5,7 @@
 #include "FleetMembers.h"
 #include "ViewTransfer.h"
 
+#include <utility>
 #include <vector>
 
 namespace buckthornwing {
@@ -39,6 +40,12 @@
   void setStopping() { this->members.setStopping(); }
   const FleetMembers& fleet() const { return this->members; }
   std::vector<OutgoingFleetMessage>& outgoing() { return this->outbox; }
+  /// \returns numbers of targets that peers in the zone found dead since the
+  /// last call.
+  std::vector<std::uint64_t> takeFoundDead()
+  {
+    return std::exchange(this->foundDead, {});
+  }
 
 private:
   TagBoard& board;
@@ -46,6 +53,7 @@
   FleetMembers members;
   ViewTransfers transfers;
   std::vector<OutgoingFleetMessage> outbox;
+  std::vector<std::uint64_t> foundDead;
   std::uint64_t pushedTargets = 0;
   std::uint64_t pushedRoutes = 0;
   std::uint64_t nextTransfer = 1;
--- a/buckthornwing/src/Io/HttpClient.cpp
+++ b/buckthornwing/src/Io/HttpClient.cpp
@@ -50,10 +50,15 @@
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   beast::flat_buffer buffer;
+  bool connected = false;
 
   void fail(const char* step, const beast::error_code& code)
   {
-    this->done(HttpResult{ 0, {}, std::string(step) + ": " + code.message() });
+    HttpResult result;
+    result.failure = std::string(step) + ": " + code.message();
+    result.connected = this->connected;
+    result.refused = code == boost::asio::error::connection_refused;
+    this->done(std::move(result));
   }
 
   void onConnected(const beast::error_code& code)
@@ -62,6 +67,7 @@
       this->fail("connect", code);
       return;
     }
+    this->connected = true;
     http::async_write(
       this->stream,
       this->request,
@@ -92,8 +98,14 @@
       return;
     }
     auto& response = this->parser.get();
-    this->done(
-      HttpResult{ response.result_int(), std::move(response.body()), {} });
+    HttpResult result;
+    result.status = response.result_int();
+    result.connected = true;
+    for (const auto& field : response) {
+      result.fields.emplace(field.name_string(), field.value());
+    }
+    result.body = std::move(response.body());
+    this->done(std::move(result));
   }
 };
 
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace buckthornwing {
@@ -15,6 +16,9 @@
 {
   unsigned status = 0; ///< 0 if there was no answer
   std::string body;
+  std::map<std::string, std::string> fields; ///< of the answer's head
+  bool connected = false; ///< the server took the connection
+  bool refused = false;   ///< its machine answered that nothing listens
   std::string failure; ///< the step and cause if there was no answer
 };
 
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -39,9 +39,13 @@
 
 /// \brief Reads targets and routes from the platform into an engine.
 template<typename Source>
-concept ViewSource = requires(Source source) {
+concept ViewSource = requires(Source source,
+                              const TargetRecord& target,
+                              const std::string& healthPath,
+                              std::function<void(ProbeResult)> done) {
   source.start();
   source.stop();
+  source.probe(target, healthPath, done);
   { source.calls() } -> std::convertible_to<std::uint64_t>;
   { source.failures() } -> std::convertible_to<std::uint64_t>;
 };
@@ -167,6 +171,7 @@
                              : Codec::requestId(packet.payload);
     this->log.decision(
       this->engine.board(), packet, decision, requestId, now);
+    this->startProbes();
   }
 
   void carryOut(const SteeringDecision& decision,
@@ -223,11 +228,42 @@
     }
   }
 
+  void startProbes()
+  {
+    for (const TargetSlot slot : this->engine.takeProbes()) {
+      const TargetRecord& target =
+        this->engine.board().registry.at(slot).record;
+      this->source.probe(target,
+                         this->engine.healthPathOf(slot),
+                         [this, slot](ProbeResult result) {
+                           this->engine.onProbeResult(slot, result, bootTime());
+                           this->afterInput();
+                         });
+    }
+  }
+
+  void resetRescued(MilliTime now)
+  {
+    for (const RescuedFlow& rescued : this->engine.takeRescued()) {
+      CallerPacket packet;
+      packet.flow = rescued.flow;
+      packet.acknowledged = rescued.acknowledged;
+      SteeringDecision decision;
+      decision.outcome = SteeringOutcome::reset;
+      decision.reason = SteeringReason::targetSilent;
+      decision.target = rescued.target;
+      this->carryOut(decision, packet, {}, now);
+      this->log.decision(this->engine.board(), packet, decision, {}, now);
+    }
+  }
+
   /// \brief Called after each input from the platform or a peer.
   void afterInput()
   {
     const MilliTime now = bootTime();
     this->flushPeers();
+    this->resetRescued(now);
+    this->startProbes();
     for (const TagEvent& event : this->engine.takeEvents()) {
       this->log.change(this->engine.board(), event, now);
     }
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -17,6 +17,11 @@
   return static_cast<std::int32_t>(left - right) > 0;
 }
 
+/// \brief Data seen again sooner was overtaken, not sent again.
+constexpr MilliDuration kLeastRepeat{ 150 };
+/// \brief A request in progress without a packet for so long went elsewhere.
+constexpr MilliDuration kBusyLapse{ 2500 };
+
 const TargetLoad kNoLoad;
 
 }
@@ -78,6 +83,16 @@
   this->endBusy(flow);
 }
 
+void
+FlowObserver::countRepeat(TrackedFlow& flow)
+{
+  if (flow.repeats == 0) {
+    ++this->loadFor(flow.target).silentFlows;
+  }
+  constexpr int kMost = 255;
+  flow.repeats = static_cast<std::uint8_t>(std::min(flow.repeats + 1, kMost));
+}
+
 Observation
 FlowObserver::observeData(TrackedFlow& flow,
                           const CallerPacket& packet,
@@ -87,6 +102,7 @@
     packet.sequence + static_cast<std::uint32_t>(packet.payload.size());
   if (internal::isAfter(end, flow.nextSequence)) {
     flow.nextSequence = end;
+    flow.sentAt = now;
     if (!flow.busy) {
       flow.busy = true;
       flow.busySince = now;
@@ -94,10 +110,10 @@
     }
     return Observation::requested;
   }
-  if (flow.repeats == 0) {
-    ++this->loadFor(flow.target).silentFlows;
+  if (now - flow.sentAt < internal::kLeastRepeat) {
+    return Observation::nothing;
   }
-  flow.repeats = static_cast<std::uint8_t>(std::min(flow.repeats + 1, 255));
+  this->countRepeat(flow);
   return Observation::repeated;
 }
 
@@ -149,7 +165,9 @@
     flow.target = target;
     flow.tag = tag;
     flow.kind = kind;
+    flow.key = packet.flow;
     flow.openedAt = now;
+    flow.sentAt = now;
     found = this->flows.insert_or_assign(id, flow).first;
     ++this->loadFor(target).flows;
   }
@@ -161,10 +179,7 @@
   if (packet.openingCopy == 0) {
     return Observation::opened;
   }
-  if (flow.repeats == 0) {
-    ++this->loadFor(target).silentFlows;
-  }
-  flow.repeats = static_cast<std::uint8_t>(std::min(flow.repeats + 1, 255));
+  this->countRepeat(flow);
   return Observation::openingCopied;
 }
 
@@ -181,12 +196,15 @@
 void
 FlowObserver::sweep(MilliTime now, MilliDuration idle)
 {
-  boost::unordered::erase_if(this->flows, [&](const auto& flow) {
-    const bool isOld = now - flow.second.seenAt > idle;
-    if (isOld) {
+  boost::unordered::erase_if(this->flows, [&](auto&& flow) {
+    if (now - flow.second.seenAt > idle) {
       this->leave(flow.second);
+      return true;
+    }
+    if (now - flow.second.seenAt > internal::kBusyLapse) {
+      this->endBusy(flow.second);
     }
-    return isOld;
+    return false;
   });
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -61,6 +61,7 @@
   Observation observeData(TrackedFlow& flow,
                           const CallerPacket& packet,
                           MilliTime now);
+  void countRepeat(TrackedFlow& flow);
   void progress(TrackedFlow& flow, MilliTime now);
   void endBusy(TrackedFlow& flow);
   void leave(const TrackedFlow& flow);
--- /dev/null
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -0,0 +1,39 @@
+#ifndef BUCKTHORNWING_TARGET_HEALTH_H
+#define BUCKTHORNWING_TARGET_HEALTH_H
+
+#include "../Core/MilliTime.h"
+
+#include <cstdint>
+
+namespace buckthornwing {
+
+/// \brief What an instance holds a target's reachability to be.
+enum class HealthState : std::uint8_t
+{
+  trusted,
+  suspected, ///< silent towards callers, or a peer found it dead
+  dead,      ///< probes found that it does not answer
+};
+
+/// \brief What a probe of a target found.
+enum class ProbeResult : std::uint8_t
+{
+  alive,
+  refused,     ///< its machine answers, but nothing listens
+  silent,      ///< no connection within the time limit
+  otherTarget, ///< another target has its address now
+};
+
+/// \brief A target's reachability as this instance sees it.
+struct TargetHealth
+{
+  HealthState state = HealthState::trusted;
+  std::uint8_t failedProbes = 0; ///< in a row
+  bool probing = false;
+  MilliTime changedAt{};
+  MilliTime nextProbeAt{};
+};
+
+}
+
+#endif
--- a/buckthornwing/src/Observation/TargetLoad.h
+++ b/buckthornwing/src/Observation/TargetLoad.h
@@ -15,7 +15,6 @@
   double serviceMs = 0;      ///< moving mean time to the first answer
   MilliTime progressAt{};    ///< last sign that the target answers
   std::int32_t silentFlows = 0; ///< flows with repeats and no progress
-  bool dead = false;         ///< a probe found that it does not answer
   double peerFlows = 0;      ///< sum of what other instances reported
   double peerBusy = 0;
   MilliTime peerProgressAt{};
--- a/buckthornwing/src/Observation/TrackedFlow.h
+++ b/buckthornwing/src/Observation/TrackedFlow.h
@@ -15,6 +15,7 @@
 /// It is a hint about load and silence: no packet needs it to be forwarded.
 struct TrackedFlow
 {
+  FlowKey key;
   TargetSlot target = kNoTargetSlot;
   FlowTag tag;
   RouteKind kind = RouteKind::idempotent;
@@ -26,6 +27,7 @@
   MilliTime openedAt{};
   MilliTime seenAt{};
   MilliTime busySince{};
+  MilliTime sentAt{}; ///< of the newest data, or of the opening
 };
 
 using TrackedFlows =
--- /dev/null
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -0,0 +1,168 @@
+#include "HealthController.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief One lost connection attempt says little; a refused one says all.
+constexpr std::uint8_t kSilentProbes = 2;
+constexpr MilliDuration kDeadProbePeriod{ 1000 };
+/// \brief A verdict counts only if this process ran all the time.
+constexpr MilliDuration kMostTickGap{ 400 };
+
+}
+
+void
+HealthController::report(TagEventKind kind,
+                         TargetSlot target,
+                         MilliTime now,
+                         const char* cause)
+{
+  const MilliTime progress =
+    std::max(this->board.lastProgress(target),
+             this->board.registry.at(target).changedAt);
+  this->board.events.push_back({ kind,
+                                 this->board.registry.at(target).record.id,
+                                 this->board.registry.at(target).revision,
+                                 (now - progress).ms,
+                                 cause });
+}
+
+void
+HealthController::onRepeated(TargetSlot target, MilliTime sentAt, MilliTime now)
+{
+  const bool answeredSince = this->board.lastProgress(target) >= sentAt;
+  if (!answeredSince) {
+    this->suspect(target, now, "a caller sent data again");
+  }
+}
+
+void
+HealthController::onProgress(TargetSlot target, MilliTime now)
+{
+  if (this->board.healthFor(target).state != HealthState::trusted) {
+    this->trust(target, now);
+  }
+}
+
+void
+HealthController::onPeerFoundDead(TargetSlot target, MilliTime now)
+{
+  this->suspect(target, now, "a peer found it dead");
+}
+
+void
+HealthController::onPacketForGone(TargetSlot target, MilliTime now)
+{
+  this->suspect(target, now, "it left the registry");
+}
+
+void
+HealthController::suspect(TargetSlot target, MilliTime now, const char* cause)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  if (health.state != HealthState::trusted) {
+    return;
+  }
+  health.state = HealthState::suspected;
+  health.failedProbes = 0;
+  health.changedAt = now;
+  this->report(TagEventKind::targetSuspected, target, now, cause);
+  this->askForProbe(target, now);
+}
+
+void
+HealthController::trust(TargetSlot target, MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  health.state = HealthState::trusted;
+  health.failedProbes = 0;
+  health.changedAt = now;
+  this->report(TagEventKind::targetTrusted, target, now, "it answers");
+}
+
+void
+HealthController::bury(TargetSlot target, MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  if (health.state == HealthState::dead) {
+    return;
+  }
+  health.state = HealthState::dead;
+  health.changedAt = now;
+  this->newlyDead.push_back(target);
+  this->report(TagEventKind::targetDead, target, now, "probes failed");
+}
+
+void
+HealthController::askForProbe(TargetSlot target, MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  if (health.probing) {
+    return;
+  }
+  health.probing = true;
+  health.nextProbeAt = now + internal::kDeadProbePeriod;
+  ++this->board.counters.probes;
+  this->probes.push_back(target);
+}
+
+void
+HealthController::onProbeResult(TargetSlot target,
+                                ProbeResult result,
+                                MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  health.probing = false;
+  if (result == ProbeResult::alive) {
+    this->board.observer.loadFor(target).progressAt = now;
+    if (health.state != HealthState::trusted) {
+      this->trust(target, now);
+    }
+    return;
+  }
+  if (this->board.lastTickGap > internal::kMostTickGap) {
+    return;
+  }
+  ++health.failedProbes;
+  const bool isSure = result != ProbeResult::silent ||
+                      health.failedProbes >= internal::kSilentProbes;
+  if (health.state == HealthState::trusted) {
+    return;
+  }
+  if (isSure) {
+    this->bury(target, now);
+  } else {
+    this->askForProbe(target, now);
+  }
+}
+
+void
+HealthController::tick(MilliTime now)
+{
+  for (TargetSlot slot = 0; slot < this->board.health.size(); ++slot) {
+    const TargetHealth& health = this->board.health[slot];
+    const bool isDue = health.state != HealthState::trusted &&
+                       !health.probing && now >= health.nextProbeAt;
+    if (isDue && this->board.registry.at(slot).used &&
+        this->board.registry.at(slot).presence != TargetPresence::gone) {
+      this->askForProbe(slot, now);
+    }
+  }
+}
+
+std::vector<TargetSlot>
+HealthController::takeProbes()
+{
+  return std::exchange(this->probes, {});
+}
+
+std::vector<TargetSlot>
+HealthController::takeDead()
+{
+  return std::exchange(this->newlyDead, {});
+}
+
+}
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -16,6 +16,9 @@
 /// \brief Load per slot by which another zone must be better.
 constexpr double kZoneMargin = 1000.0;
 
+/// \brief A silent target is taken only if all are silent.
+constexpr double kSilentPenalty = 1000000.0;
+
 std::uint64_t
 rendezvousScore(FlowId flow, const KnownTarget& target)
 {
@@ -93,8 +96,10 @@
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone;
+    const bool isTrusted = board.healthState(slot) == HealthState::trusted;
     const double load = placementLoad(board, slot, now) +
-                        (isLocal ? 0.0 : internal::kZoneMargin);
+                        (isLocal ? 0.0 : internal::kZoneMargin) +
+                        (isTrusted ? 0.0 : internal::kSilentPenalty);
     const std::uint64_t tie = internal::rendezvousScore(flow, target);
     if (load < bestLoad || (load == bestLoad && tie > bestTie)) {
       best = slot;
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -23,11 +23,7 @@
     decision = this->decideLater(packet, id, now);
   }
   if (decision.outcome == SteeringOutcome::forward) {
-    const RouteKind kind =
-      decision.route == nullptr ? RouteKind::nonIdempotent : decision.route->kind;
-    const Observation seen = this->board.observer.onForwarded(
-      packet, id, decision.target, kind, decision.tag, now);
-    this->board.counters.repeats += seen == Observation::repeated ? 1 : 0;
+    this->observe(packet, id, decision, now);
   } else if (decision.outcome == SteeringOutcome::reset) {
     this->board.observer.onReset(id);
   }
@@ -35,6 +31,33 @@
   return decision;
 }
 
+void
+SteeringController::observe(const CallerPacket& packet,
+                            FlowId id,
+                            const SteeringDecision& decision,
+                            MilliTime now)
+{
+  const RouteKind kind =
+    decision.route == nullptr ? RouteKind::nonIdempotent : decision.route->kind;
+  const Observation seen = this->board.observer.onForwarded(
+    packet, id, decision.target, kind, decision.tag, now);
+  switch (seen) {
+    case Observation::repeated:
+    case Observation::openingCopied: {
+      ++this->board.counters.repeats;
+      const TrackedFlow* flow = this->board.observer.find(id);
+      this->health.onRepeated(decision.target, flow->sentAt, now);
+      break;
+    }
+    case Observation::established:
+    case Observation::progressed:
+      this->health.onProgress(decision.target, now);
+      break;
+    default:
+      break;
+  }
+}
+
 SteeringDecision
 SteeringController::decideOpening(const CallerPacket& packet,
                                   FlowId id,
@@ -53,8 +76,12 @@
     return decision;
   }
   const TrackedFlow* known = this->board.observer.find(id);
+  // A second target would only get the copies of a flow that the first one
+  // may have taken, unless that is known not to answer.
   if (known != nullptr &&
-      this->board.registry.at(known->target).takesNewFlows()) {
+      this->board.registry.at(known->target).presence !=
+        TargetPresence::gone &&
+      this->board.healthState(known->target) != HealthState::dead) {
     decision.outcome = SteeringOutcome::forward;
     decision.reason = SteeringReason::openingCopy;
     decision.target = known->target;
@@ -74,7 +101,10 @@
   decision.route = &route;
   const ServiceSlot service = chooseService(route, id);
   decision.target = this->placement.choose(this->board, id, service, now);
-  if (decision.target != kNoTargetSlot) {
+  const bool isReachable =
+    decision.target != kNoTargetSlot &&
+    this->board.healthState(decision.target) != HealthState::dead;
+  if (isReachable) {
     decision.tag =
       this->board.tags.mint(this->board.registry, packet.flow, decision.target);
   }
@@ -114,12 +144,41 @@
     decision.outcome = SteeringOutcome::hold;
     return decision;
   }
-  (void)id;
+  if (this->board.registry.at(decision.target).presence ==
+      TargetPresence::gone) {
+    this->health.onPacketForGone(decision.target, now);
+  }
+  if (this->board.healthState(decision.target) == HealthState::dead) {
+    return this->decideForDead(packet, id, decision);
+  }
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::tagged;
   return decision;
 }
 
+SteeringDecision
+SteeringController::decideForDead(const CallerPacket& packet,
+                                  FlowId id,
+                                  SteeringDecision decision)
+{
+  const KnownTarget& target = this->board.registry.at(decision.target);
+  const TrackedFlow* flow = this->board.observer.find(id);
+  const bool isForGood = target.presence == TargetPresence::gone;
+  // A request that can't be repeated and may have run keeps waiting for its
+  // answer until the target is gone for good.
+  const bool mayHaveRun = decision.route->kind == RouteKind::nonIdempotent &&
+                          (flow == nullptr || flow->busy);
+  if (packet.resets || packet.finishes || (mayHaveRun && !isForGood)) {
+    decision.outcome = SteeringOutcome::forward;
+    decision.reason = SteeringReason::tagged;
+    return decision;
+  }
+  decision.outcome = SteeringOutcome::reset;
+  decision.reason = isForGood ? SteeringReason::targetGone
+                              : SteeringReason::targetSilent;
+  return decision;
+}
+
 bool
 SteeringController::isFresh(MilliTime now) const
 {
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_STEERING_CONTROLLER_H
 #define BUCKTHORNWING_STEERING_CONTROLLER_H
 
+#include "HealthController.h"
 #include "PlacementPolicy.h"
 #include "TagBoard.h"
 
@@ -10,8 +11,9 @@
 class SteeringController
 {
 public:
-  explicit SteeringController(TagBoard& board)
+  SteeringController(TagBoard& board, HealthController& health)
     : board(board)
+    , health(health)
   {
   }
 
@@ -19,6 +21,7 @@
 
 private:
   TagBoard& board;
+  HealthController& health;
   LeastLoadPlacement placement;
 
   SteeringDecision decideOpening(const CallerPacket& packet,
@@ -31,7 +34,14 @@
   SteeringDecision decideLater(const CallerPacket& packet,
                                FlowId id,
                                MilliTime now);
+  SteeringDecision decideForDead(const CallerPacket& packet,
+                                 FlowId id,
+                                 SteeringDecision decision);
   bool isFresh(MilliTime now) const;
+  void observe(const CallerPacket& packet,
+               FlowId id,
+               const SteeringDecision& decision,
+               MilliTime now);
   void count(const SteeringDecision& decision);
 };
 
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -3,6 +3,7 @@
 
 #include "../Core/Random.h"
 #include "../Observation/FlowObserver.h"
+#include "../Observation/TargetHealth.h"
 #include "../Tagging/TagIndex.h"
 #include "../View/RouteBook.h"
 #include "../View/ServicePools.h"
@@ -53,9 +54,33 @@
   MilliTime routesConfirmedAt{};
   /// The store's revision that news of the routes continue from.
   std::uint64_t routesRevision = 0;
+  /// Time between the last two ticks: shows whether this process stood still.
+  MilliDuration lastTickGap{};
+  std::vector<TargetHealth> health; ///< by TargetSlot
   bool stopping = false;
   std::vector<TagEvent> events;
 
+  TargetHealth& healthFor(TargetSlot target)
+  {
+    if (target >= this->health.size()) {
+      this->health.resize(target + 1);
+    }
+    return this->health[target];
+  }
+
+  HealthState healthState(TargetSlot target) const
+  {
+    return target < this->health.size() ? this->health[target].state
+                                        : HealthState::trusted;
+  }
+
+  /// \returns when a target last gave a sign of life, here or at a peer.
+  MilliTime lastProgress(TargetSlot target) const
+  {
+    const TargetLoad& load = this->observer.load(target);
+    return std::max(load.progressAt, load.peerProgressAt);
+  }
+
   /// \returns whether there is anything to decide by.
   bool hasView() const
   {
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -14,7 +14,9 @@
 TagEngine::TagEngine(TagSettings settings)
   : state(std::move(settings))
   , view(this->state)
-  , steering(this->state)
+  , health(this->state)
+  , steering(this->state, this->health)
+  , rescue(this->state)
   , fleet(this->state, this->view)
 {
 }
@@ -91,9 +93,11 @@
   if (this->lastTick.ms != 0 && gap > internal::kPauseGap) {
     this->state.events.push_back({ TagEventKind::paused, {}, 0, gap.ms, {} });
   }
+  this->state.lastTickGap = gap;
   this->lastTick = now;
   this->view.tick(now);
   this->fleet.tick(now);
+  this->health.tick(now);
   if (now - this->lastSweep >= internal::kSweepPeriod) {
     this->lastSweep = now;
     this->state.observer.sweep(now, this->state.settings.flowIdle);
@@ -104,6 +108,12 @@
 TagEngine::onFleetMessage(const FleetMessage& message, MilliTime now)
 {
   this->fleet.onMessage(message, now);
+  for (const std::uint64_t number : this->fleet.takeFoundDead()) {
+    const TargetSlot slot = this->state.registry.findNumber(number);
+    if (slot != kNoTargetSlot) {
+      this->health.onPeerFoundDead(slot, now);
+    }
+  }
 }
 
 void
@@ -113,6 +123,35 @@
   this->fleet.setStopping();
 }
 
+void
+TagEngine::onProbeResult(TargetSlot target, ProbeResult result, MilliTime now)
+{
+  this->health.onProbeResult(target, result, now);
+}
+
+std::string
+TagEngine::healthPathOf(TargetSlot target) const
+{
+  const Labels& labels = this->state.registry.at(target).record.labels;
+  for (const SelectedService& service : this->state.routes.routes().services) {
+    if (!service.healthPath.empty() && matches(service.selector, labels)) {
+      return service.healthPath;
+    }
+  }
+  return "/";
+}
+
+std::vector<RescuedFlow>
+TagEngine::takeRescued()
+{
+  std::vector<RescuedFlow> rescued;
+  for (const TargetSlot target : this->health.takeDead()) {
+    const auto flows = this->rescue.rescueFrom(target);
+    rescued.insert(rescued.end(), flows.begin(), flows.end());
+  }
+  return rescued;
+}
+
 std::vector<OutgoingFleetMessage>
 TagEngine::takeOutgoing()
 {
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_TAG_ENGINE_H
 
 #include "../Fleet/FleetController.h"
+#include "RescueController.h"
 #include "SteeringController.h"
 #include "TagBoard.h"
 #include "ViewController.h"
@@ -35,6 +36,7 @@
   /// \brief Notes that the platform did not answer.
   void onStoreFailure(const std::string& cause, MilliTime now);
 
+  void onProbeResult(TargetSlot target, ProbeResult result, MilliTime now);
   void onFleetMessage(const FleetMessage& message, MilliTime now);
 
   void tick(MilliTime now);
@@ -48,15 +50,25 @@
   {
     return this->fleet.shouldReadStore(now);
   }
+  /// \returns the path of a health request to a target; "/" if no service
+  /// that selects it names one.
+  std::string healthPathOf(TargetSlot target) const;
   const FleetMembers& members() const { return this->fleet.fleet(); }
 
   std::vector<TagEvent> takeEvents();
   std::vector<OutgoingFleetMessage> takeOutgoing();
+  /// \returns targets to probe; each is answered by onProbeResult().
+  std::vector<TargetSlot> takeProbes() { return this->health.takeProbes(); }
+  /// \returns flows whose callers are to be told by a reset, with the target
+  /// that they were freed from.
+  std::vector<RescuedFlow> takeRescued();
 
 private:
   TagBoard state;
   ViewController view;
+  HealthController health;
   SteeringController steering;
+  RescueController rescue;
   FleetController fleet;
   MilliTime lastTick{};
   MilliTime lastSweep{};
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -73,8 +73,13 @@
   const KnownTarget& target = this->board.registry.at(slot);
   if (!target.used) {
     this->board.observer.forgetTarget(slot);
+    this->board.healthFor(slot) = TargetHealth{};
     return;
   }
+  if (target.presence == TargetPresence::listed) {
+    // News of a target that was found dead: look again at once.
+    this->board.healthFor(slot).nextProbeAt = MilliTime{};
+  }
   TagEventKind kind = TagEventKind::targetListed;
   if (target.presence == TargetPresence::gone) {
     kind = TagEventKind::targetGone;
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -21,6 +21,13 @@
   return found == this->byId.end() ? kNoTargetSlot : found->second;
 }
 
+TargetSlot
+TargetRegistry::findNumber(std::uint64_t number) const
+{
+  const auto found = this->byNumber.find(number);
+  return found == this->byNumber.end() ? kNoTargetSlot : found->second;
+}
+
 TargetSlot
 TargetRegistry::slotFor(const std::string& id)
 {
@@ -84,6 +91,7 @@
   switch (change.kind) {
     case ChangeKind::listed:
       this->list(target, change, now);
+      this->byNumber[target.record.number] = slot;
       break;
     case ChangeKind::unreadable:
       target.record.state = TargetState::draining;
@@ -168,6 +176,7 @@
   KnownTarget& target = this->known[slot];
   this->forgottenRevision = std::max(this->forgottenRevision, target.revision);
   this->byId.erase(target.record.id);
+  this->byNumber.erase(target.record.number);
   target.used = false;
   this->freeSlots.push_back(slot);
 }
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -79,6 +79,8 @@
   std::span<const KnownTarget> targets() const { return this->known; }
   const KnownTarget& at(TargetSlot slot) const { return this->known[slot]; }
   TargetSlot find(std::string_view id) const;
+  /// \returns the target that answers to a number.
+  TargetSlot findNumber(std::uint64_t number) const;
 
   /// \returns all changes above a revision, or a full list if some of them
   /// are forgotten already. \a isFull tells which.
@@ -89,6 +91,7 @@
   std::vector<KnownTarget> known;
   std::vector<TargetSlot> freeSlots;
   std::map<std::string, TargetSlot, std::less<>> byId;
+  std::map<std::uint64_t, TargetSlot> byNumber;
   std::uint64_t asOfRevision = 0;
   std::uint64_t changeRevision = 0;
   std::uint64_t forgottenRevision = 0; ///< newest end that was forgotten
