A flow whose target left before this instance started is reset

Cause: after a restart of all instances nobody remembers targets that left, so their idle flows' next requests hung until the deadline (unknown_tag held 4 to 15 times a tenth of a second). A flow's target was registered before the flow opened, so a registry read after the packet was seen settles it.

--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -176,7 +176,8 @@
   if (!packet.opens) {
     return this->observe(flow, packet, now);
   }
-  if (packet.openingCopy == 0) {
+  // Earlier copies that did not pass here say nothing about the target.
+  if (packet.openingCopy == 0 || isNew) {
     return Observation::opened;
   }
   this->countRepeat(flow);
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -141,7 +141,9 @@
     this->board.registry, packet.tag, packet.flow);
   if (decision.target == kNoTargetSlot) {
     decision.reason = SteeringReason::unknownTag;
-    decision.outcome = SteeringOutcome::hold;
+    decision.outcome = this->unknownTargets.isGoneForGood(this->board, id, now)
+                         ? SteeringOutcome::reset
+                         : SteeringOutcome::hold;
     return decision;
   }
   if (this->board.registry.at(decision.target).presence ==
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -4,6 +4,7 @@
 #include "HealthController.h"
 #include "PlacementPolicy.h"
 #include "TagBoard.h"
+#include "UnknownTargets.h"
 
 namespace buckthornwing {
 
@@ -23,6 +24,7 @@
   TagBoard& board;
   HealthController& health;
   LeastLoadPlacement placement;
+  UnknownTargets unknownTargets;
 
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
--- /dev/null
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -0,0 +1,31 @@
+#include "UnknownTargets.h"
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief Targets that live register again within 2 s of the registry's
+/// return.
+constexpr MilliDuration kRegistryRecovery{ 2500 };
+constexpr std::size_t kMostUnknownFlows = 10000;
+
+}
+
+bool
+UnknownTargets::isGoneForGood(const TagBoard& board,
+                              FlowId flow,
+                              MilliTime now)
+{
+  if (this->firstSeen.size() >= internal::kMostUnknownFlows) {
+    this->firstSeen.clear();
+  }
+  const MilliTime seen = this->firstSeen.try_emplace(flow, now).first->second;
+  const bool isWell =
+    now - board.registry.lastUnwell() > internal::kRegistryRecovery;
+  if (!isWell || board.targetsConfirmedAt < seen) {
+    return false;
+  }
+  this->firstSeen.erase(flow);
+  return true;
+}
+
+}
