Openings are paced while targets are crowded; closed flows no longer count

Besides, a packet that trails a closed flow made a ghost flow for 15 s, and an opening did not count as the request that it brings.

--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -117,4 +117,14 @@
     }));
 }
 
+std::size_t
+FleetMembers::liveInZone(MilliTime now) const
+{
+  return static_cast<std::size_t>(std::count_if(
+    this->members.begin(), this->members.end(), [&](const auto& entry) {
+      return entry.second.member.zone == this->self.zone &&
+             this->isLive(entry.second, now);
+    }));
+}
+
 }
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -66,6 +66,9 @@
 
   std::size_t liveCount(MilliTime now) const;
 
+  /// \returns the number of live members in the own zone.
+  std::size_t liveInZone(MilliTime now) const;
+
   const FleetMember& own() const { return this->self; }
   void setStopping() { this->self.stopping = true; }
   std::map<Endpoint, KnownMember>& all() { return this->members; }
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -22,6 +22,9 @@
 /// \brief A request in progress without a packet for so long went elsewhere.
 constexpr MilliDuration kBusyLapse{ 2500 };
 
+/// \brief Packets that trail a closed flow arrive within this time.
+constexpr MilliDuration kClosedLife{ 4000 };
+
 const TargetLoad kNoLoad;
 
 }
@@ -30,7 +33,8 @@
 FlowObserver::find(FlowId id) const
 {
   const auto found = this->flows.find(id);
-  return found == this->flows.end() ? nullptr : &found->second;
+  const bool isOpen = found != this->flows.end() && !found->second.closed;
+  return isOpen ? &found->second : nullptr;
 }
 
 const TargetLoad&
@@ -48,9 +52,19 @@
   return this->loads[target];
 }
 
+void
+FlowObserver::startBusy(TrackedFlow& flow)
+{
+  if (!flow.busy) {
+    flow.busy = true;
+    ++this->loadFor(flow.target).busy;
+  }
+}
+
 void
 FlowObserver::endBusy(TrackedFlow& flow)
 {
+  flow.requested = false;
   if (flow.busy) {
     flow.busy = false;
     --this->loadFor(flow.target).busy;
@@ -60,6 +74,9 @@
 void
 FlowObserver::leave(const TrackedFlow& flow)
 {
+  if (flow.closed) {
+    return;
+  }
   TargetLoad& load = this->loadFor(flow.target);
   --load.flows;
   load.busy -= flow.busy ? 1 : 0;
@@ -67,7 +84,7 @@
 }
 
 void
-FlowObserver::progress(TrackedFlow& flow, MilliTime now)
+FlowObserver::noteLife(TrackedFlow& flow, MilliTime now)
 {
   TargetLoad& load = this->loadFor(flow.target);
   load.progressAt = now;
@@ -75,9 +92,16 @@
     flow.repeats = 0;
     --load.silentFlows;
   }
+}
+
+void
+FlowObserver::progress(TrackedFlow& flow, MilliTime now)
+{
+  this->noteLife(flow, now);
   if (!flow.busy) {
     return;
   }
+  TargetLoad& load = this->loadFor(flow.target);
   const double took = static_cast<double>((now - flow.busySince).ms);
   load.serviceMs += (took - load.serviceMs) * internal::kNewestShare;
   this->endBusy(flow);
@@ -103,11 +127,11 @@
   if (internal::isAfter(end, flow.nextSequence)) {
     flow.nextSequence = end;
     flow.sentAt = now;
-    if (!flow.busy) {
-      flow.busy = true;
+    if (!flow.requested) {
+      flow.requested = true;
       flow.busySince = now;
-      ++this->loadFor(flow.target).busy;
     }
+    this->startBusy(flow);
     return Observation::requested;
   }
   if (now - flow.sentAt < internal::kLeastRepeat) {
@@ -127,7 +151,7 @@
     flow.established = true;
     flow.nextSequence = packet.sequence;
     flow.acknowledged = packet.acknowledged;
-    this->progress(flow, now);
+    this->noteLife(flow, now);
     result = Observation::established;
   } else if (internal::isAfter(packet.acknowledged, flow.acknowledged)) {
     flow.acknowledged = packet.acknowledged;
@@ -140,6 +164,42 @@
   return this->observeData(flow, packet, now);
 }
 
+TrackedFlows::iterator
+FlowObserver::enter(TrackedFlows::iterator known,
+                    const CallerPacket& packet,
+                    FlowId id,
+                    TargetSlot target,
+                    MilliTime now)
+{
+  if (known != this->flows.end()) {
+    this->leave(known->second);
+  }
+  TrackedFlow flow;
+  flow.key = packet.flow;
+  flow.target = target;
+  flow.openedAt = now;
+  flow.sentAt = now;
+  const auto entered = this->flows.insert_or_assign(id, flow).first;
+  ++this->loadFor(target).flows;
+  if (packet.opens) {
+    // Its first request follows at once.
+    this->startBusy(entered->second);
+  }
+  return entered;
+}
+
+void
+FlowObserver::close(TrackedFlows::iterator flow)
+{
+  if (flow != this->flows.end() && !flow->second.closed) {
+    this->leave(flow->second);
+    flow->second.closed = true;
+    flow->second.busy = false;
+    flow->second.requested = false;
+    flow->second.repeats = 0;
+  }
+}
+
 Observation
 FlowObserver::onForwarded(const CallerPacket& packet,
                           FlowId id,
@@ -148,28 +208,34 @@
                           FlowTag tag,
                           MilliTime now)
 {
-  if (packet.resets || packet.finishes) {
-    this->onReset(id);
-    return Observation::closed;
-  }
   auto found = this->flows.find(id);
   const bool isNew = found == this->flows.end();
-  if (isNew && this->flows.size() >= internal::kMostTrackedFlows) {
+  const bool closes = packet.resets || packet.finishes;
+  // An acknowledgement for a flow opened before this instance started may
+  // trail its end.
+  const bool tellsNothing =
+    !packet.opens && !closes && packet.payload.empty();
+  if (isNew &&
+      (tellsNothing || this->flows.size() >= internal::kMostTrackedFlows)) {
     return Observation::nothing;
   }
-  if (isNew || found->second.target != target) {
-    if (!isNew) {
-      this->leave(found->second);
+  if (closes) {
+    // Data that was sent before may still follow, so the flow is remembered.
+    if (isNew) {
+      found = this->enter(found, packet, id, target, now);
     }
-    TrackedFlow flow;
-    flow.target = target;
-    flow.tag = tag;
-    flow.kind = kind;
-    flow.key = packet.flow;
-    flow.openedAt = now;
-    flow.sentAt = now;
-    found = this->flows.insert_or_assign(id, flow).first;
-    ++this->loadFor(target).flows;
+    found->second.seenAt = now;
+    this->close(found);
+    return Observation::closed;
+  }
+  const bool isReopened = !isNew && found->second.closed && packet.opens;
+  if (!isNew && found->second.closed && !isReopened) {
+    return Observation::nothing;
+  }
+  if (isNew || isReopened || found->second.target != target) {
+    found = this->enter(found, packet, id, target, now);
+    found->second.kind = kind;
+    found->second.tag = tag;
   }
   TrackedFlow& flow = found->second;
   flow.seenAt = now;
@@ -187,18 +253,15 @@
 void
 FlowObserver::onReset(FlowId id)
 {
-  const auto found = this->flows.find(id);
-  if (found != this->flows.end()) {
-    this->leave(found->second);
-    this->flows.erase(found);
-  }
+  this->close(this->flows.find(id));
 }
 
 void
 FlowObserver::sweep(MilliTime now, MilliDuration idle)
 {
   boost::unordered::erase_if(this->flows, [&](auto&& flow) {
-    if (now - flow.second.seenAt > idle) {
+    const MilliDuration most = flow.second.closed ? internal::kClosedLife : idle;
+    if (now - flow.second.seenAt > most) {
       this->leave(flow.second);
       return true;
     }
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -45,6 +45,7 @@
   /// \brief Forgets what was learned of a target, for its next incarnation.
   void forgetTarget(TargetSlot target);
 
+  /// \returns an open flow, or null.
   const TrackedFlow* find(FlowId id) const;
   const TargetLoad& load(TargetSlot target) const;
   TargetLoad& loadFor(TargetSlot target);
@@ -63,7 +64,15 @@
                           MilliTime now);
   void countRepeat(TrackedFlow& flow);
   void progress(TrackedFlow& flow, MilliTime now);
+  void noteLife(TrackedFlow& flow, MilliTime now);
+  void startBusy(TrackedFlow& flow);
   void endBusy(TrackedFlow& flow);
+  TrackedFlows::iterator enter(TrackedFlows::iterator known,
+                               const CallerPacket& packet,
+                               FlowId id,
+                               TargetSlot target,
+                               MilliTime now);
+  void close(TrackedFlows::iterator flow);
   void leave(const TrackedFlow& flow);
 };
 
--- a/buckthornwing/src/Observation/TrackedFlow.h
+++ b/buckthornwing/src/Observation/TrackedFlow.h
@@ -20,7 +20,9 @@
   FlowTag tag;
   RouteKind kind = RouteKind::idempotent;
   bool established = false; ///< the caller answered the handshake
-  bool busy = false;        ///< a request is in progress
+  bool busy = false;        ///< a request is in progress, or about to come
+  bool closed = false;      ///< only kept to know trailing packets
+  bool requested = false;   ///< its data was seen
   std::uint8_t repeats = 0; ///< retransmissions since the last progress
   std::uint32_t nextSequence = 0; ///< end of the caller's bytes seen
   std::uint32_t acknowledged = 0; ///< highest acknowledgement seen
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -8,9 +8,9 @@
 
 /// \brief Slots assumed for a target that publishes none.
 constexpr double kDefaultSlots = 4;
-/// \brief What a request in progress weighs against an open flow that may
+/// \brief What a request that must queue weighs against an open flow that may
 /// send one.
-constexpr double kBusyWeight = 2.0;
+constexpr double kQueueWeight = 6.0;
 /// \brief A cold target counts as this much busier.
 constexpr double kColdFactor = 1.6;
 /// \brief Load per slot by which another zone must be better.
@@ -58,7 +58,8 @@
   const double flows = static_cast<double>(load.flows) + load.peerFlows;
   const double busy = static_cast<double>(load.busy) + load.peerBusy;
   const double cold = now < target.slowUntil ? internal::kColdFactor : 1.0;
-  return (flows + 1 + internal::kBusyWeight * busy) * cold / slots;
+  const double queued = std::max(0.0, busy + 1 - slots);
+  return (flows + 1 + internal::kQueueWeight * queued) * cold / slots;
 }
 
 TargetSlot
--- a/buckthornwing/src/Steering/RescueController.cpp
+++ b/buckthornwing/src/Steering/RescueController.cpp
@@ -5,7 +5,7 @@
 bool
 gainsByReset(const TrackedFlow& flow)
 {
-  return flow.established && (!flow.busy || isRepeatable(flow.kind));
+  return flow.established && (!flow.requested || isRepeatable(flow.kind));
 }
 
 std::vector<RescuedFlow>
@@ -14,7 +14,7 @@
   std::vector<RescuedFlow> rescued;
   std::vector<FlowId> ids;
   for (const auto& [id, flow] : this->board.observer.all()) {
-    if (flow.target == target && gainsByReset(flow)) {
+    if (flow.target == target && !flow.closed && gainsByReset(flow)) {
       rescued.push_back({ flow.key, flow.acknowledged, target });
       ids.push_back(id);
     }
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -22,6 +22,15 @@
   } else {
     decision = this->decideLater(packet, id, now);
   }
+  return this->finish(packet, id, decision, now);
+}
+
+SteeringDecision
+SteeringController::finish(const CallerPacket& packet,
+                           FlowId id,
+                           const SteeringDecision& decision,
+                           MilliTime now)
+{
   if (decision.outcome == SteeringOutcome::forward) {
     this->observe(packet, id, decision, now);
   } else if (decision.outcome == SteeringOutcome::reset) {
@@ -114,6 +123,11 @@
                                           : SteeringOutcome::drop;
     return decision;
   }
+  if (this->pace.shouldDrop(
+        this->board, decision.target, packet.openingCopy)) {
+    decision.reason = SteeringReason::paced;
+    return decision;
+  }
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
   return decision;
@@ -169,7 +183,7 @@
   // A request that can't be repeated and may have run keeps waiting for its
   // answer until the target is gone for good.
   const bool mayHaveRun = decision.route->kind == RouteKind::nonIdempotent &&
-                          (flow == nullptr || flow->busy);
+                          (flow == nullptr || flow->requested);
   if (packet.resets || packet.finishes || (mayHaveRun && !isForGood)) {
     decision.outcome = SteeringOutcome::forward;
     decision.reason = SteeringReason::tagged;
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_STEERING_CONTROLLER_H
 
 #include "HealthController.h"
+#include "OpeningPace.h"
 #include "PlacementPolicy.h"
 #include "TagBoard.h"
 #include "UnknownTargets.h"
@@ -24,6 +25,7 @@
   TagBoard& board;
   HealthController& health;
   LeastLoadPlacement placement;
+  OpeningPace pace;
   UnknownTargets unknownTargets;
 
   SteeringDecision decideOpening(const CallerPacket& packet,
@@ -36,6 +38,10 @@
   SteeringDecision decideLater(const CallerPacket& packet,
                                FlowId id,
                                MilliTime now);
+  SteeringDecision finish(const CallerPacket& packet,
+                          FlowId id,
+                          const SteeringDecision& decision,
+                          MilliTime now);
   SteeringDecision decideForDead(const CallerPacket& packet,
                                  FlowId id,
                                  SteeringDecision decision);
--- a/buckthornwing/src/Steering/SteeringDecision.h
+++ b/buckthornwing/src/Steering/SteeringDecision.h
@@ -16,6 +16,8 @@
   drop,  ///< the caller sends it again
 };
 
+inline constexpr std::size_t kSteeringOutcomeCount = 4;
+
 /// \brief Why.
 enum class SteeringReason : std::uint8_t
 {
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -21,7 +21,7 @@
 struct TagCounters
 {
   std::array<std::uint64_t, kSteeringReasonCount> decisions{};
-  std::array<std::uint64_t, 4> outcomes{};
+  std::array<std::uint64_t, kSteeringOutcomeCount> outcomes{};
   std::uint64_t openings = 0;
   std::uint64_t openingCopies = 0;
   std::uint64_t repeats = 0;
