News pass from member to member; silence counts only beside a control probe

Besides, with 3 of 29 peers a beat most members of a zone looked lost after 1.2 s, so many instances read the store. Change: news go to 3 members, each passes them on; only changed routes travel; members tell when they last heard others, lost is 4 s. A silent probe counts after another target of the zone answered one; what a peer found dead is avoided, and probed only where flows of it are.

--- a/buckthornwing/src/Core/MilliTime.h
+++ b/buckthornwing/src/Core/MilliTime.h
@@ -36,6 +36,12 @@
   return MilliDuration{ later.ms - earlier.ms };
 }
 
+constexpr MilliDuration
+operator+(MilliDuration left, MilliDuration right)
+{
+  return MilliDuration{ left.ms + right.ms };
+}
+
 namespace literals {
 
 constexpr MilliDuration operator""_ms(unsigned long long ms)
--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -74,8 +74,11 @@
   {
     fleetwire::Heartbeat heartbeat;
     heartbeat.view = toWire(body.view);
-    for (const FleetMember& member : body.members) {
-      heartbeat.members.push_back(toWire(member));
+    for (const MemberHearsay& known : body.members) {
+      fleetwire::Hearsay hearsay;
+      hearsay.member = toWire(known.member);
+      hearsay.heardAgoMs = toWireMs(known.heardAgo);
+      heartbeat.members.push_back(std::move(hearsay));
     }
     for (const TargetReport& report : body.reports) {
       heartbeat.reports.push_back(toWire(report));
@@ -106,11 +109,12 @@
 readHeartbeat(const fleetwire::Heartbeat& in, FleetHeartbeat& out)
 {
   out.view = fromWire(in.view);
-  for (const fleetwire::Member& member : in.members) {
-    FleetMember known;
-    if (!fromWire(member, known)) {
+  for (const fleetwire::Hearsay& hearsay : in.members) {
+    MemberHearsay known;
+    if (!fromWire(hearsay.member, known.member)) {
       return false;
     }
+    known.heardAgo.ms = std::max(hearsay.heardAgoMs, 0);
     out.members.push_back(std::move(known));
   }
   for (const fleetwire::TargetReport& report : in.reports) {
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -16,7 +16,12 @@
 constexpr MilliDuration kLonelySeedPeriod{ 200 };
 constexpr MilliDuration kSeedPeriod{ 5000 };
 constexpr MilliDuration kRequestPeriod{ 150 };
-constexpr std::size_t kMembersTold = 6;
+/// \brief News go to a few members at once, each of which passes them on.
+constexpr std::size_t kPushPeers = 3;
+constexpr MilliDuration kPushPeriod{ 100 };
+/// \brief A push holds all news of this time, for members that missed some.
+constexpr MilliDuration kPushOverlap{ 800 };
+constexpr std::size_t kMembersTold = 8;
 constexpr std::size_t kReportsTold = 40;
 /// \brief A peer's report counts for so long.
 constexpr MilliDuration kReportLife{ 2500 };
@@ -48,12 +53,11 @@
 ViewVersions
 FleetController::ownView(MilliTime now) const
 {
-  return ViewVersions{ this->board.registry.lastChange(),
-                    this->board.routes.version(),
-                    this->board.routesRevision,
-                    now - this->board.targetsConfirmedAt,
-                    now - this->board.routesConfirmedAt,
-                    now - this->board.registry.lastUnwell() };
+  return ViewVersions{
+    this->board.registry.lastChange(),   this->board.routes.version(),
+    this->board.routesRevision,          now - this->board.targetsConfirmedAt,
+    now - this->board.routesConfirmedAt, now - this->board.registry.lastUnwell()
+  };
 }
 
 std::vector<TargetReport>
@@ -62,11 +66,9 @@
   std::vector<TargetReport> reports;
   const std::size_t count = this->board.registry.targets().size();
   for (std::size_t i = 0; i < count; ++i) {
-    const auto slot =
-      static_cast<TargetSlot>((this->nextReport + i) % count);
+    const auto slot = static_cast<TargetSlot>((this->nextReport + i) % count);
     const TargetLoad& load = this->board.observer.load(slot);
-    const bool isDead =
-      this->board.healthState(slot) == HealthState::dead;
+    const bool isDead = this->board.healthState(slot) == HealthState::dead;
     if (load.flows == 0 && load.busy == 0 && !isDead) {
       continue;
     }
@@ -91,7 +93,7 @@
   beat.view = this->ownView(now);
   for (const auto& [address, known] : this->members.all()) {
     if (this->members.isLive(known, now)) {
-      beat.members.push_back(known.member);
+      beat.members.push_back({ known.member, now - known.heardAt });
     }
   }
   for (std::size_t i = 0; i + 1 < beat.members.size(); ++i) {
@@ -114,6 +116,7 @@
 FleetController::tick(MilliTime now)
 {
   this->members.forgetSilent(now);
+  this->pushView(now);
   if (now >= this->nextZoneBeat) {
     this->nextZoneBeat = now + internal::kZoneBeatPeriod;
     for (const KnownMember* peer : this->members.sample(
@@ -152,7 +155,7 @@
   update.targets =
     this->board.registry.changesSince(targetsSince, update.isFull);
   if (this->board.routes.version() > routesSince) {
-    update.routes = this->board.routes.routes();
+    update.routes = this->board.routes.changesSince(routesSince);
   }
   return encodeViewUpdate(update);
 }
@@ -166,24 +169,56 @@
   ++this->nextTransfer;
 }
 
+FleetController::ViewPoint
+FleetController::pushBase(MilliTime now) const
+{
+  ViewPoint base;
+  for (const ViewPoint& point : this->points) {
+    if (now - point.at >= internal::kPushOverlap) {
+      base = point;
+    }
+  }
+  return base;
+}
+
+void
+FleetController::notePoint(MilliTime now)
+{
+  const ViewPoint point{ now,
+                         this->board.registry.lastChange(),
+                         this->board.routes.version() };
+  this->points.push_back(point);
+  while (this->points.size() > 1 &&
+         now - this->points[1].at >= internal::kPushOverlap) {
+    this->points.pop_front();
+  }
+}
+
 void
 FleetController::pushView(MilliTime now)
 {
   const std::uint64_t targets = this->board.registry.lastChange();
   const std::uint64_t routes = this->board.routes.version();
-  if (!this->board.hasView() ||
-      (targets == this->pushedTargets && routes == this->pushedRoutes)) {
+  const bool isNews =
+    targets != this->pushed.targets || routes != this->pushed.routes;
+  if (!this->board.hasView() || !isNews || now < this->nextPush) {
+    return;
+  }
+  this->nextPush = now + internal::kPushPeriod;
+  const ViewPoint base = this->pushBase(now);
+  this->pushed = ViewPoint{ now, targets, routes };
+  this->notePoint(now);
+  if (base.targets == 0) {
     return;
   }
   const std::string encoded =
-    this->encodeUpdate(this->pushedTargets, this->pushedRoutes, now);
-  this->pushedTargets = targets;
-  this->pushedRoutes = routes;
-  for (const auto& [address, known] : this->members.all()) {
-    if (known.member.zone == this->members.own().zone &&
-        this->members.isLive(known, now)) {
-      this->sendUpdate(address, encoded);
-    }
+    this->encodeUpdate(base.targets, base.routes, now);
+  for (const KnownMember* peer :
+       this->members.sample(true, internal::kPushPeers, this->board.random)) {
+    this->sendUpdate(peer->member.address, encoded);
+  }
+  if (!this->shouldReadStore(now)) {
+    return;
   }
   for (const KnownMember* peer :
        this->members.oneInEachOtherZone(now, this->board.random)) {
@@ -213,9 +248,8 @@
   if (member == nullptr) {
     return;
   }
-  std::visit(
-    [&](const auto& body) { this->onBody(body, message.sender, now); },
-    message.body);
+  std::visit([&](const auto& body) { this->onBody(body, message.sender, now); },
+             message.body);
 }
 
 void
@@ -225,12 +259,11 @@
 {
   KnownMember& member = this->members.all()[sender.address];
   member.view = body.view;
-  for (const FleetMember& other : body.members) {
+  for (const MemberHearsay& other : body.members) {
     this->members.hearOf(other, now);
   }
   this->takeReports(member, body, now);
-  this->board.registry.noteUnwell(
-    MilliTime{ now.ms - body.view.unwellAgo.ms });
+  this->board.registry.noteUnwell(MilliTime{ now.ms - body.view.unwellAgo.ms });
   this->confirmView(body.view, now);
   this->askIfOlder(body.view, sender.address, now);
 }
@@ -326,8 +359,8 @@
   if (!encoded) {
     return;
   }
-  const std::span bytes(
-    reinterpret_cast<const std::uint8_t*>(encoded->data()), encoded->size());
+  const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded->data()),
+                        encoded->size());
   const auto update = decodeViewUpdate(bytes);
   if (update) {
     this->onUpdate(*update, sender, now);
@@ -346,7 +379,7 @@
     this->view.onChanges(revision, update.targets, now);
   }
   if (update.routes) {
-    this->view.onRoutes(*update.routes, now);
+    this->view.onRouteChanges(*update.routes, now);
     this->board.routesRevision =
       std::max(this->board.routesRevision, update.view.routesRevision);
   }
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -5,6 +5,7 @@
 #include "FleetMembers.h"
 #include "ViewTransfer.h"
 
+#include <deque>
 #include <utility>
 #include <vector>
 
@@ -29,8 +30,7 @@
   /// \brief Sends what is due.
   void tick(MilliTime now);
 
-  /// \brief Tells peers at once if this instance learned something from the
-  /// store.
+  /// \brief Passes news on to a few members, if there are any.
   void pushView(MilliTime now);
 
   /// \returns whether this instance reads the store. One instance of a zone
@@ -54,8 +54,17 @@
   ViewTransfers transfers;
   std::vector<OutgoingFleetMessage> outbox;
   std::vector<std::uint64_t> foundDead;
-  std::uint64_t pushedTargets = 0;
-  std::uint64_t pushedRoutes = 0;
+  /// \brief How far a view went at a time.
+  struct ViewPoint
+  {
+    MilliTime at{};
+    std::uint64_t targets = 0; ///< revision
+    std::uint64_t routes = 0;  ///< version
+  };
+
+  ViewPoint pushed;
+  std::deque<ViewPoint> points; ///< of the last pushes
+  MilliTime nextPush{};
   std::uint64_t nextTransfer = 1;
   std::size_t nextReport = 0;
   MilliTime nextZoneBeat{};
@@ -74,11 +83,15 @@
                 const FleetMember& sender,
                 MilliTime now);
   void confirmView(const ViewVersions& peer, MilliTime now);
-  void askIfOlder(const ViewVersions& peer, const Endpoint& from, MilliTime now);
+  void askIfOlder(const ViewVersions& peer,
+                  const Endpoint& from,
+                  MilliTime now);
   void takeReports(KnownMember& member,
                    const FleetHeartbeat& body,
                    MilliTime now);
   void sumReports(MilliTime now);
+  ViewPoint pushBase(MilliTime now) const;
+  void notePoint(MilliTime now);
   ViewVersions ownView(MilliTime now) const;
   FleetHeartbeat heartbeat(MilliTime now);
   std::vector<TargetReport> nextReports(MilliTime now);
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -30,21 +30,32 @@
     known.view = ViewVersions{};
   }
   known.member = sender;
-  known.heard = true;
   known.heardAt = now;
   return &known;
 }
 
 void
-FleetMembers::hearOf(const FleetMember& member, MilliTime now)
+FleetMembers::hearOf(const MemberHearsay& hearsay, MilliTime now)
 {
-  const bool isNew = member.address != this->self.address &&
-                     !this->members.contains(member.address) &&
-                     this->members.size() < internal::kMostMembers;
-  if (isNew) {
-    KnownMember& known = this->members[member.address];
+  const FleetMember& member = hearsay.member;
+  const MilliTime heardAt{ now.ms - hearsay.heardAgo.ms };
+  if (member.address == this->self.address ||
+      now - heardAt > internal::kForgetAfter) {
+    return;
+  }
+  const auto found = this->members.find(member.address);
+  if (found == this->members.end()) {
+    if (this->members.size() < internal::kMostMembers) {
+      KnownMember& known = this->members[member.address];
+      known.member = member;
+      known.heardAt = heardAt;
+    }
+    return;
+  }
+  KnownMember& known = found->second;
+  if (heardAt > known.heardAt) {
+    known.heardAt = heardAt;
     known.member = member;
-    known.heardAt = now;
   }
 }
 
@@ -59,7 +70,7 @@
 bool
 FleetMembers::isLive(const KnownMember& member, MilliTime now) const
 {
-  return member.heard && now - member.heardAt <= kLostAfter;
+  return now - member.heardAt <= kLostAfter;
 }
 
 std::vector<const KnownMember*>
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -21,8 +21,7 @@
 struct KnownMember
 {
   FleetMember member;
-  bool heard = false;  ///< a message of its own came in
-  MilliTime heardAt{}; ///< or, before that, when it was heard of
+  MilliTime heardAt{}; ///< last sign of life, here or at any peer
   ViewVersions view;
   boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
 };
@@ -32,7 +31,7 @@
 {
 public:
   /// \brief A member that was not heard for so long is taken for lost.
-  static constexpr MilliDuration kLostAfter{ 1200 };
+  static constexpr MilliDuration kLostAfter{ 4000 };
 
   explicit FleetMembers(FleetMember self)
     : self(std::move(self))
@@ -43,8 +42,8 @@
   /// \returns the member, or null if it is this instance itself
   KnownMember* hear(const FleetMember& sender, MilliTime now);
 
-  /// \brief Notes that a peer knows a member.
-  void hearOf(const FleetMember& member, MilliTime now);
+  /// \brief Notes what a peer says of a member.
+  void hearOf(const MemberHearsay& hearsay, MilliTime now);
 
   /// \brief Forgets members that were silent for long.
   void forgetSilent(MilliTime now);
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNWING_FLEET_MESSAGE_H
 #define BUCKTHORNWING_FLEET_MESSAGE_H
 
-#include "../View/Route.h"
+#include "../View/RouteBook.h"
 #include "../View/TargetRecord.h"
 
 #include <cstdint>
@@ -46,11 +46,18 @@
   bool dead = false; ///< a probe found that it does not answer
 };
 
+/// \brief A member that the sender knows.
+struct MemberHearsay
+{
+  FleetMember member;
+  MilliDuration heardAgo{}; ///< since anyone heard it
+};
+
 /// \brief Sent some times a second to a few members.
 struct FleetHeartbeat
 {
   ViewVersions view;
-  std::vector<FleetMember> members; ///< a sample of those it knows
+  std::vector<MemberHearsay> members; ///< a sample of those it knows
   std::vector<TargetReport> reports;
 };
 
@@ -77,7 +84,7 @@
   std::uint64_t targetsBase = 0;
   bool isFull = false;
   std::vector<TargetChange> targets;
-  std::optional<RouteTable> routes;
+  std::optional<RouteChanges> routes;
 };
 
 /// \brief A message between instances.
--- a/buckthornwing/src/Fleet/ViewTransfer.cpp
+++ b/buckthornwing/src/Fleet/ViewTransfer.cpp
@@ -37,9 +37,8 @@
   if (!transfer.offsets.insert(part.offset).second) {
     return std::nullopt;
   }
-  std::copy(part.bytes.begin(),
-            part.bytes.end(),
-            transfer.bytes.begin() + part.offset);
+  std::copy(
+    part.bytes.begin(), part.bytes.end(), transfer.bytes.begin() + part.offset);
   transfer.received += part.bytes.size();
   if (transfer.received < part.total) {
     return std::nullopt;
--- a/buckthornwing/src/Fleet/ViewWire.cpp
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -73,7 +73,8 @@
   }
   const auto address = parseEndpoint(in.address);
   const bool isKnownState =
-    in.state >= 0 && in.state <= static_cast<std::int8_t>(TargetState::draining);
+    in.state >= 0 &&
+    in.state <= static_cast<std::int8_t>(TargetState::draining);
   if (!address || !isKnownState || in.slots < 0) {
     return false;
   }
@@ -135,29 +136,34 @@
   return true;
 }
 
-fleetwire::RouteTable
-toWire(const RouteTable& table)
+fleetwire::RouteChanges
+toWire(const RouteChanges& changes)
 {
-  fleetwire::RouteTable out;
-  out.version = static_cast<std::int64_t>(table.version);
-  out.revision = static_cast<std::int64_t>(table.revision);
-  out.idleTimeoutMs = toWireMs(table.idleTimeout);
-  for (const SelectedService& service : table.services) {
+  fleetwire::RouteChanges out;
+  out.base = static_cast<std::int64_t>(changes.base);
+  out.version = static_cast<std::int64_t>(changes.version);
+  out.revision = static_cast<std::int64_t>(changes.revision);
+  out.idleTimeoutMs = toWireMs(changes.idleTimeout);
+  for (const SelectedService& service : changes.services) {
     fleetwire::Service wireService;
     wireService.name = service.name;
     wireService.selector = formatSelector(service.selector);
     wireService.healthPath = service.healthPath;
     out.services.push_back(std::move(wireService));
   }
-  for (const Route& route : table.routes) {
+  for (const Route& route : changes.routes) {
     out.routes.push_back(toWire(route));
   }
+  for (const Endpoint& destination : changes.removed) {
+    out.removed.push_back(formatEndpoint(destination));
+  }
   return out;
 }
 
 bool
-fromWire(const fleetwire::RouteTable& in, RouteTable& out)
+fromWire(const fleetwire::RouteChanges& in, RouteChanges& out)
 {
+  out.base = static_cast<std::uint64_t>(in.base);
   out.version = static_cast<std::uint64_t>(in.version);
   out.revision = static_cast<std::uint64_t>(in.revision);
   out.idleTimeout.ms = in.idleTimeoutMs;
@@ -177,6 +183,13 @@
     }
     out.routes.push_back(std::move(parsed));
   }
+  for (const std::string& text : in.removed) {
+    const auto destination = parseEndpoint(text);
+    if (!destination) {
+      return false;
+    }
+    out.removed.push_back(*destination);
+  }
   return true;
 }
 
--- a/buckthornwing/src/Fleet/ViewWire.h
+++ b/buckthornwing/src/Fleet/ViewWire.h
@@ -14,8 +14,7 @@
 toWireMs(MilliDuration span)
 {
   constexpr std::int64_t kMost = std::numeric_limits<std::int32_t>::max();
-  return static_cast<std::int32_t>(
-    std::clamp<std::int64_t>(span.ms, 0, kMost));
+  return static_cast<std::int32_t>(std::clamp<std::int64_t>(span.ms, 0, kMost));
 }
 
 fleetwire::ViewVersions
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -10,6 +10,12 @@
   5: bool stopping
 }
 
+// A member that the sender knows, and when it was last heard by anyone.
+struct Hearsay {
+  1: Member member
+  2: i32 heardAgoMs
+}
+
 struct ViewVersions {
   1: i64 targetsRevision
   2: i64 routesVersion
@@ -30,7 +36,7 @@
 
 struct Heartbeat {
   1: ViewVersions view
-  2: list<Member> members
+  2: list<Hearsay> members
   3: list<TargetReport> reports
 }
 
@@ -79,12 +85,14 @@
   3: string healthPath
 }
 
-struct RouteTable {
-  1: i64 version
-  2: i64 revision
-  3: i32 idleTimeoutMs
-  4: list<Service> services
-  5: list<Route> routes
+struct RouteChanges {
+  1: i64 base
+  2: i64 version
+  3: i64 revision
+  4: i32 idleTimeoutMs
+  5: list<Service> services
+  6: list<Route> routes
+  7: list<string> removed
 }
 
 // Everything that a receiver with the base revision lacks.
@@ -93,7 +101,7 @@
   2: i64 targetsBase
   3: bool isFull
   4: list<Target> targets
-  5: optional RouteTable routes
+  5: optional RouteChanges routes
 }
 
 // A part of an encoded ViewUpdate.
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -213,8 +213,7 @@
   const bool closes = packet.resets || packet.finishes;
   // An acknowledgement for a flow opened before this instance started may
   // trail its end.
-  const bool tellsNothing =
-    !packet.opens && !closes && packet.payload.empty();
+  const bool tellsNothing = !packet.opens && !closes && packet.payload.empty();
   if (isNew &&
       (tellsNothing || this->flows.size() >= internal::kMostTrackedFlows)) {
     return Observation::nothing;
@@ -260,7 +259,8 @@
 FlowObserver::sweep(MilliTime now, MilliDuration idle)
 {
   boost::unordered::erase_if(this->flows, [&](auto&& flow) {
-    const MilliDuration most = flow.second.closed ? internal::kClosedLife : idle;
+    const MilliDuration most =
+      flow.second.closed ? internal::kClosedLife : idle;
     if (now - flow.second.seenAt > most) {
       this->leave(flow.second);
       return true;
--- a/buckthornwing/src/Observation/TargetHealth.h
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -32,6 +32,7 @@
   bool probing = false;
   MilliTime changedAt{};
   MilliTime nextProbeAt{};
+  MilliTime avoidUntil{}; ///< a peer found it dead
 };
 
 }
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -6,9 +6,11 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief One lost connection attempt says little; a refused one says all.
+/// \brief One silent probe says little; a refused one says all.
 constexpr std::uint8_t kSilentProbes = 2;
 constexpr MilliDuration kDeadProbePeriod{ 1000 };
+/// \brief What a peer found keeps new flows away for so long.
+constexpr MilliDuration kHearsayLife{ 1500 };
 /// \brief A verdict counts only if this process ran all the time.
 constexpr MilliDuration kMostTickGap{ 400 };
 
@@ -50,7 +52,14 @@
 void
 HealthController::onPeerFoundDead(TargetSlot target, MilliTime now)
 {
-  this->suspect(target, now, "a peer found it dead");
+  // Only whoever has flows there needs to know for sure.
+  const bool hasFlows = this->board.observer.load(target).flows > 0;
+  TargetHealth& health = this->board.healthFor(target);
+  if (hasFlows) {
+    this->suspect(target, now, "a peer found it dead");
+  } else if (health.state == HealthState::trusted) {
+    health.avoidUntil = now + internal::kHearsayLife;
+  }
 }
 
 void
@@ -117,26 +126,88 @@
 {
   TargetHealth& health = this->board.healthFor(target);
   health.probing = false;
-  if (result == ProbeResult::alive) {
+  const bool isAlive = result == ProbeResult::alive;
+  if (isAlive) {
     this->board.observer.loadFor(target).progressAt = now;
-    if (health.state != HealthState::trusted) {
-      this->trust(target, now);
-    }
-    return;
+    this->onProgress(target, now);
+  } else if (this->board.lastTickGap <= internal::kMostTickGap &&
+             health.state == HealthState::suspected) {
+    this->onFailedProbe(target, result, now);
   }
-  if (this->board.lastTickGap > internal::kMostTickGap) {
-    return;
+  if (target == this->control) {
+    this->control = kNoTargetSlot;
+    this->onControlResult(isAlive, now);
   }
+}
+
+void
+HealthController::onFailedProbe(TargetSlot target,
+                                ProbeResult result,
+                                MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
   ++health.failedProbes;
-  const bool isSure = result != ProbeResult::silent ||
-                      health.failedProbes >= internal::kSilentProbes;
-  if (health.state == HealthState::trusted) {
+  if (result != ProbeResult::silent) {
+    this->bury(target, now);
+    return;
+  }
+  if (health.failedProbes == 1) {
+    this->askForControl(target, now);
     return;
   }
-  if (isSure) {
+  const bool isControlled = health.failedProbes >= internal::kSilentProbes;
+  if (isControlled) {
     this->bury(target, now);
-  } else {
-    this->askForProbe(target, now);
+  }
+}
+
+TargetSlot
+HealthController::chooseControl(TargetSlot target) const
+{
+  TargetSlot best = kNoTargetSlot;
+  for (TargetSlot slot = 0; slot < this->board.registry.targets().size();
+       ++slot) {
+    const KnownTarget& known = this->board.registry.at(slot);
+    const bool isFit = slot != target && known.takesNewFlows() &&
+                       known.record.zone == this->board.settings.zone &&
+                       this->board.healthState(slot) == HealthState::trusted;
+    const bool isBetter =
+      isFit && (best == kNoTargetSlot || this->board.lastProgress(slot) >
+                                           this->board.lastProgress(best));
+    if (isBetter) {
+      best = slot;
+    }
+  }
+  return best;
+}
+
+void
+HealthController::askForControl(TargetSlot target, MilliTime now)
+{
+  if (this->control == kNoTargetSlot) {
+    this->control = this->chooseControl(target);
+    if (this->control == kNoTargetSlot) {
+      // Nobody is left to compare with.
+      this->askForProbe(target, now);
+      return;
+    }
+    this->askForProbe(this->control, now);
+  }
+  this->awaitingControl.push_back(target);
+}
+
+void
+HealthController::onControlResult(bool isAlive, MilliTime now)
+{
+  for (const TargetSlot target : std::exchange(this->awaitingControl, {})) {
+    TargetHealth& health = this->board.healthFor(target);
+    if (isAlive) {
+      this->askForProbe(target, now);
+    } else {
+      // The own link is in trouble; start over later.
+      health.failedProbes = 0;
+      health.nextProbeAt = now + internal::kDeadProbePeriod;
+    }
   }
 }
 
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -11,8 +11,10 @@
 /// them.
 ///
 /// A request that a caller sends again, while no flow of its target makes
-/// progress, raises suspicion; only probes that fail make a target dead. So
-/// neither a lost packet nor a busy target is taken for a crash.
+/// progress, raises suspicion; only probes that fail make a target dead. A
+/// probe that nothing answers counts only after another target has answered
+/// one. So neither a lost packet, nor a busy target, nor trouble of this
+/// instance's own link is taken for a crash.
 class HealthController
 {
 public:
@@ -49,10 +51,16 @@
   TagBoard& board;
   std::vector<TargetSlot> probes;
   std::vector<TargetSlot> newlyDead;
+  std::vector<TargetSlot> awaitingControl;
+  TargetSlot control = kNoTargetSlot; ///< being probed for those
 
   void suspect(TargetSlot target, MilliTime now, const char* cause);
   void trust(TargetSlot target, MilliTime now);
   void bury(TargetSlot target, MilliTime now);
+  TargetSlot chooseControl(TargetSlot target) const;
+  void askForControl(TargetSlot target, MilliTime now);
+  void onControlResult(bool isAlive, MilliTime now);
+  void onFailedProbe(TargetSlot target, ProbeResult result, MilliTime now);
   void askForProbe(TargetSlot target, MilliTime now);
   void report(TagEventKind kind,
               TargetSlot target,
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -97,10 +97,10 @@
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone;
-    const bool isTrusted = board.healthState(slot) == HealthState::trusted;
+    const bool isAvoided = board.isAvoided(slot, now);
     const double load = placementLoad(board, slot, now) +
                         (isLocal ? 0.0 : internal::kZoneMargin) +
-                        (isTrusted ? 0.0 : internal::kSilentPenalty);
+                        (isAvoided ? internal::kSilentPenalty : 0.0);
     const std::uint64_t tie = internal::rendezvousScore(flow, target);
     if (load < bestLoad || (load == bestLoad && tie > bestTie)) {
       best = slot;
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -74,6 +74,14 @@
                                         : HealthState::trusted;
   }
 
+  /// \returns whether new flows should go to other targets.
+  bool isAvoided(TargetSlot target, MilliTime now) const
+  {
+    return target < this->health.size() &&
+           (this->health[target].state != HealthState::trusted ||
+            now < this->health[target].avoidUntil);
+  }
+
   /// \returns when a target last gave a sign of life, here or at a peer.
   MilliTime lastProgress(TargetSlot target) const
   {
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -35,6 +35,23 @@
   if (!this->board.routes.apply(std::move(table))) {
     return false;
   }
+  this->onNewRoutes(now);
+  return true;
+}
+
+bool
+ViewController::onRouteChanges(const RouteChanges& changes, MilliTime now)
+{
+  if (!this->board.routes.apply(changes)) {
+    return false;
+  }
+  this->onNewRoutes(now);
+  return true;
+}
+
+void
+ViewController::onNewRoutes(MilliTime now)
+{
   const RouteTable& applied = this->board.routes.routes();
   this->board.pools.rebuild(this->board.routes, this->board.registry);
   this->board.events.push_back(
@@ -44,7 +61,6 @@
       (now - this->board.routesConfirmedAt).ms,
       std::to_string(applied.routes.size()) + " routes, " +
         std::to_string(applied.skipped) + " skipped" });
-  return true;
 }
 
 void
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -25,11 +25,14 @@
                   MilliTime now);
   /// \returns whether the table came into force
   bool onRoutes(RouteTable table, MilliTime now);
+  /// \returns whether the changes came into force
+  bool onRouteChanges(const RouteChanges& changes, MilliTime now);
   void tick(MilliTime now);
 
 private:
   TagBoard& board;
 
+  void onNewRoutes(MilliTime now);
   void onChanged(std::span<const TargetSlot> slots, MilliTime now);
   void report(TargetSlot slot);
 };
--- a/buckthornwing/src/View/RouteBook.cpp
+++ b/buckthornwing/src/View/RouteBook.cpp
@@ -2,6 +2,7 @@
 
 #include "../Core/Hash.h"
 
+#include <algorithm>
 #include <array>
 #include <bit>
 #include <utility>
@@ -22,16 +23,100 @@
   if (newTable.version <= this->table.version) {
     return false;
   }
+  const RouteTable old = std::move(this->table);
+  const ByDestination oldIndex = std::move(this->byDestination);
   this->table = std::move(newTable);
   this->byDestination.clear();
-  this->byDestination.reserve(this->table.routes.size());
-  std::uint32_t index = 0;
+  // Of two routes to one destination the first holds.
+  std::erase_if(this->table.routes, [this](const Route& route) {
+    const auto index = static_cast<std::uint32_t>(this->byDestination.size());
+    return !this->byDestination.emplace(route.destination, index).second;
+  });
+  this->noteChanges(old, oldIndex);
+  return true;
+}
+
+void
+RouteBook::noteChanges(const RouteTable& old, const ByDestination& oldIndex)
+{
+  const std::uint64_t version = this->table.version;
+  std::vector<std::uint64_t> changed;
+  changed.reserve(this->table.routes.size());
   for (const Route& route : this->table.routes) {
-    // Of two routes to one destination the first holds.
-    this->byDestination.emplace(route.destination, index);
-    ++index;
+    const auto known = oldIndex.find(route.destination);
+    const bool isSame =
+      known != oldIndex.end() && old.routes[known->second] == route;
+    changed.push_back(isSame ? this->changedIn[known->second] : version);
   }
-  return true;
+  for (const Route& route : old.routes) {
+    if (!this->byDestination.contains(route.destination)) {
+      this->removals.push_back({ route.destination, version });
+    }
+  }
+  this->changedIn = std::move(changed);
+  this->versions.push_back(version);
+  if (this->versions.size() > kMostVersions) {
+    this->versions.pop_front();
+  }
+  std::erase_if(this->removals, [this](const Removal& removal) {
+    return removal.version < this->versions.front();
+  });
+}
+
+RouteChanges
+RouteBook::changesSince(std::uint64_t version) const
+{
+  RouteChanges changes;
+  changes.version = this->table.version;
+  changes.revision = this->table.revision;
+  changes.idleTimeout = this->table.idleTimeout;
+  changes.services = this->table.services;
+  const bool hadIt =
+    std::find(this->versions.begin(), this->versions.end(), version) !=
+    this->versions.end();
+  if (!hadIt) {
+    changes.routes = this->table.routes;
+    return changes;
+  }
+  changes.base = version;
+  for (std::size_t i = 0; i < this->table.routes.size(); ++i) {
+    if (this->changedIn[i] > version) {
+      changes.routes.push_back(this->table.routes[i]);
+    }
+  }
+  for (const Removal& removal : this->removals) {
+    if (removal.version > version) {
+      changes.removed.push_back(removal.destination);
+    }
+  }
+  return changes;
+}
+
+bool
+RouteBook::apply(const RouteChanges& changes)
+{
+  const bool isWhole = changes.base == 0;
+  if (!isWhole && changes.base != this->table.version) {
+    return false;
+  }
+  RouteTable merged;
+  merged.version = changes.version;
+  merged.revision = changes.revision;
+  merged.idleTimeout = changes.idleTimeout;
+  merged.services = changes.services;
+  merged.routes = changes.routes;
+  if (!isWhole) {
+    // Changed routes stand first, so that they replace the old ones.
+    for (const Route& route : this->table.routes) {
+      const bool isGone = std::find(changes.removed.begin(),
+                                    changes.removed.end(),
+                                    route.destination) != changes.removed.end();
+      if (!isGone) {
+        merged.routes.push_back(route);
+      }
+    }
+  }
+  return this->apply(std::move(merged));
 }
 
 const Route*
--- a/buckthornwing/src/View/ServicePools.cpp
+++ b/buckthornwing/src/View/ServicePools.cpp
@@ -24,9 +24,8 @@
     std::vector<TargetSlot>& pool = this->pools[i];
     const auto at = std::lower_bound(pool.begin(), pool.end(), slot);
     const bool isIn = at != pool.end() && *at == slot;
-    const bool belongs =
-      target.takesNewFlows() &&
-      matches(services[i].selector, target.record.labels);
+    const bool belongs = target.takesNewFlows() &&
+                         matches(services[i].selector, target.record.labels);
     if (belongs && !isIn) {
       pool.insert(at, slot);
     } else if (!belongs && isIn) {
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -65,8 +65,8 @@
   if (target.presence == TargetPresence::gone) {
     return;
   }
-  const bool mayReturn = !target.wasDraining &&
-                         now < this->unwellAt + internal::kLapseHold;
+  const bool mayReturn =
+    !target.wasDraining && now < this->unwellAt + internal::kLapseHold;
   target.presence = mayReturn ? TargetPresence::lapsed : TargetPresence::gone;
   target.changedAt = now;
 }
@@ -193,7 +193,9 @@
     if (!wanted) {
       continue;
     }
-    TargetChange change{ target.record.id, target.revision, ChangeKind::gone, {} };
+    TargetChange change{
+      target.record.id, target.revision, ChangeKind::gone, {}
+    };
     if (target.presence == TargetPresence::listed) {
       change.kind = ChangeKind::listed;
       change.record = target.record;
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -29,9 +29,9 @@
   TargetRecord record;
   std::uint64_t revision = 0;
   TargetPresence presence = TargetPresence::gone;
-  MilliTime changedAt{};   ///< when the presence last changed
-  MilliTime slowUntil{};   ///< end of its cold start
-  bool used = false;       ///< false: the slot is free
+  MilliTime changedAt{};    ///< when the presence last changed
+  MilliTime slowUntil{};    ///< end of its cold start
+  bool used = false;        ///< false: the slot is free
   bool wasDraining = false; ///< announced its end before it left
 
   /// \returns whether new flows may go there.
@@ -63,7 +63,10 @@
 
   /// \brief Notes that the registry failed to answer, so that entries which
   /// vanish now may be back shortly.
-  void noteUnwell(MilliTime at) { this->unwellAt = std::max(this->unwellAt, at); }
+  void noteUnwell(MilliTime at)
+  {
+    this->unwellAt = std::max(this->unwellAt, at);
+  }
 
   /// \brief Ends lapses that lasted too long and forgets old tombstones.
   /// \returns the slots that changed
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_TEST_TAG_FIXTURE_H
 #define BUCKTHORNWING_TEST_TAG_FIXTURE_H
 
+#include <Fleet>
 #include <Steering>
 
 #include <string>
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -163,6 +163,46 @@
   cr_assert_null(book.find(*parseEndpoint("203.0.113.1:80")));
 }
 
+Test(routes, changes_bring_an_older_version_up_to_date)
+{
+  RouteBook sender;
+  RouteBook receiver;
+  sender.apply(twoRoutes(1));
+  receiver.apply(twoRoutes(1));
+  RouteTable second = twoRoutes(5);
+  second.routes[0].timeout = MilliDuration{ 9000 };
+  second.routes.pop_back();
+  Route added = second.routes[0];
+  added.name = "added";
+  added.destination = *parseEndpoint("203.0.113.9:443");
+  second.routes.push_back(added);
+  sender.apply(second);
+  const RouteChanges changes = sender.changesSince(1);
+  cr_assert_eq(changes.base, 1);
+  cr_assert_eq(changes.routes.size(), 2);
+  cr_assert_eq(changes.removed.size(), 1);
+  cr_assert(receiver.apply(changes));
+  cr_assert_eq(receiver.version(), 5);
+  cr_assert_eq(receiver.find(second.routes[0].destination)->timeout.ms, 9000);
+  cr_assert_not_null(receiver.find(added.destination));
+  cr_assert_null(receiver.find(*parseEndpoint("203.0.113.1:8443")));
+}
+
+Test(routes, changes_from_a_version_that_was_skipped_are_whole)
+{
+  RouteBook sender;
+  sender.apply(twoRoutes(4));
+  sender.apply(twoRoutes(6));
+  cr_assert_eq(sender.changesSince(4).base, 4);
+  const RouteChanges whole = sender.changesSince(5);
+  cr_assert_eq(whole.base, 0);
+  cr_assert_eq(whole.routes.size(), 2);
+  RouteBook receiver;
+  receiver.apply(twoRoutes(5));
+  cr_assert_not(receiver.apply(sender.changesSince(4)));
+  cr_assert(receiver.apply(whole));
+}
+
 Test(tags, a_tag_binds_one_flow_to_one_target)
 {
   const TagScheme scheme(99);
