Large updates are fetched window by window, targets apart from routes; peers' likely choices

Change: the receiver asks for windows of 19 KB, a sender serves four large updates at a time, targets travel alone.

--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -89,8 +89,10 @@
   void operator()(const ViewRequest& body) const
   {
     fleetwire::ViewRequest request;
-    request.targetsRevision = static_cast<std::int64_t>(body.targetsRevision);
-    request.routesVersion = static_cast<std::int64_t>(body.routesVersion);
+    request.content = static_cast<std::int8_t>(body.content);
+    request.have = static_cast<std::int64_t>(body.have);
+    request.transfer = static_cast<std::int64_t>(body.transfer);
+    request.offset = static_cast<std::int32_t>(body.offset);
     this->out.__set_viewRequest(request);
   }
 
@@ -101,10 +103,18 @@
     part.offset = static_cast<std::int32_t>(body.offset);
     part.total = static_cast<std::int32_t>(body.total);
     part.bytes = body.bytes;
+    part.content = static_cast<std::int8_t>(body.content);
     this->out.__set_viewPart(part);
   }
 };
 
+bool
+readContent(std::int8_t in, ViewContent& out)
+{
+  out = static_cast<ViewContent>(in);
+  return in >= 0 && in <= static_cast<std::int8_t>(ViewContent::routes);
+}
+
 bool
 readHeartbeat(const fleetwire::Heartbeat& in, FleetHeartbeat& out)
 {
@@ -131,11 +141,10 @@
   }
   if (in.__isset.viewRequest) {
     auto& request = out.body.emplace<ViewRequest>();
-    request.targetsRevision =
-      static_cast<std::uint64_t>(in.viewRequest.targetsRevision);
-    request.routesVersion =
-      static_cast<std::uint64_t>(in.viewRequest.routesVersion);
-    return true;
+    request.have = static_cast<std::uint64_t>(in.viewRequest.have);
+    request.transfer = static_cast<std::uint64_t>(in.viewRequest.transfer);
+    request.offset = static_cast<std::uint32_t>(in.viewRequest.offset);
+    return readContent(in.viewRequest.content, request.content);
   }
   if (!in.__isset.viewPart || in.viewPart.offset < 0 || in.viewPart.total < 0) {
     return false;
@@ -145,7 +154,7 @@
   part.offset = static_cast<std::uint32_t>(in.viewPart.offset);
   part.total = static_cast<std::uint32_t>(in.viewPart.total);
   part.bytes = in.viewPart.bytes;
-  return true;
+  return readContent(in.viewPart.content, part.content);
 }
 
 std::uint32_t
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -21,6 +21,7 @@
 constexpr MilliDuration kPushPeriod{ 100 };
 /// \brief A push holds all news of this time, for members that missed some.
 constexpr MilliDuration kPushOverlap{ 800 };
+constexpr std::size_t kMostPushedBytes = 4800;
 constexpr std::size_t kMembersTold = 8;
 constexpr std::size_t kReportsTold = 40;
 /// \brief A peer's report counts for so long.
@@ -117,6 +118,12 @@
 {
   this->members.forgetSilent(now);
   this->pushView(now);
+  for (IncomingTransfers* fetched :
+       { &this->fetchedTargets, &this->fetchedRoutes }) {
+    for (const auto& [sender, request] : fetched->overdue(now)) {
+      this->send(sender, request);
+    }
+  }
   if (now >= this->nextZoneBeat) {
     this->nextZoneBeat = now + internal::kZoneBeatPeriod;
     for (const KnownMember* peer : this->members.sample(
@@ -145,28 +152,53 @@
 }
 
 std::string
-FleetController::encodeUpdate(std::uint64_t targetsSince,
-                              std::uint64_t routesSince,
+FleetController::encodeUpdate(ViewContent content,
+                              std::uint64_t since,
                               MilliTime now) const
 {
   ViewUpdate update;
   update.view = this->ownView(now);
-  update.targetsBase = targetsSince;
-  update.targets =
-    this->board.registry.changesSince(targetsSince, update.isFull);
-  if (this->board.routes.version() > routesSince) {
-    update.routes = this->board.routes.changesSince(routesSince);
+  if (content == ViewContent::targets) {
+    update.targetsBase = since;
+    update.targets = this->board.registry.changesSince(since, update.isFull);
+  } else if (this->board.routes.version() > since) {
+    update.routes = this->board.routes.changesSince(since);
   }
   return encodeViewUpdate(update);
 }
 
 void
-FleetController::sendUpdate(const Endpoint& to, const std::string& encoded)
+FleetController::sendWindow(const Endpoint& to,
+                            const std::string& encoded,
+                            const ViewRequest& request)
 {
-  for (ViewPart& part : cutIntoParts(encoded, this->nextTransfer)) {
+  for (ViewPart& part :
+       cutWindow(encoded, request.content, request.transfer, request.offset)) {
     this->send(to, std::move(part));
   }
-  ++this->nextTransfer;
+}
+
+void
+FleetController::push(ViewContent content, std::uint64_t base, MilliTime now)
+{
+  std::vector<const KnownMember*> peers =
+    this->members.sample(true, internal::kPushPeers, this->board.random);
+  if (this->shouldReadStore(now)) {
+    const auto far = this->members.oneInEachOtherZone(now, this->board.random);
+    peers.insert(peers.end(), far.begin(), far.end());
+  }
+  const std::string encoded = this->encodeUpdate(content, base, now);
+  const bool isSmall = encoded.size() <= internal::kMostPushedBytes;
+  const auto transfer = isSmall ? this->served.add(encoded, now) : std::nullopt;
+  for (const KnownMember* peer : peers) {
+    // Large news are only announced; whoever lacks them fetches them.
+    if (transfer) {
+      this->sendWindow(
+        peer->member.address, encoded, { content, base, *transfer, 0 });
+    } else {
+      this->sendHeartbeat(peer->member.address, now);
+    }
+  }
 }
 
 FleetController::ViewPoint
@@ -199,9 +231,10 @@
 {
   const std::uint64_t targets = this->board.registry.lastChange();
   const std::uint64_t routes = this->board.routes.version();
-  const bool isNews =
-    targets != this->pushed.targets || routes != this->pushed.routes;
-  if (!this->board.hasView() || !isNews || now < this->nextPush) {
+  const bool hasNewTargets = targets != this->pushed.targets;
+  const bool hasNewRoutes = routes != this->pushed.routes;
+  if (!this->board.hasView() || (!hasNewTargets && !hasNewRoutes) ||
+      now < this->nextPush) {
     return;
   }
   this->nextPush = now + internal::kPushPeriod;
@@ -211,18 +244,11 @@
   if (base.targets == 0) {
     return;
   }
-  const std::string encoded =
-    this->encodeUpdate(base.targets, base.routes, now);
-  for (const KnownMember* peer :
-       this->members.sample(true, internal::kPushPeers, this->board.random)) {
-    this->sendUpdate(peer->member.address, encoded);
+  if (hasNewTargets) {
+    this->push(ViewContent::targets, base.targets, now);
   }
-  if (!this->shouldReadStore(now)) {
-    return;
-  }
-  for (const KnownMember* peer :
-       this->members.oneInEachOtherZone(now, this->board.random)) {
-    this->sendUpdate(peer->member.address, encoded);
+  if (hasNewRoutes) {
+    this->push(ViewContent::routes, base.routes, now);
   }
 }
 
@@ -287,16 +313,18 @@
                             const Endpoint& from,
                             MilliTime now)
 {
-  const bool isOlder =
-    peer.targetsRevision > this->board.registry.lastChange() ||
-    peer.routesVersion > this->board.routes.version();
-  if (!isOlder || now < this->nextRequest) {
-    return;
+  const std::uint64_t targets = this->board.registry.lastChange();
+  const std::uint64_t routes = this->board.routes.version();
+  if (peer.targetsRevision > targets && now >= this->nextTargetsRequest &&
+      !this->fetchedTargets.isFetching()) {
+    this->nextTargetsRequest = now + internal::kRequestPeriod;
+    this->send(from, ViewRequest{ ViewContent::targets, targets, 0, 0 });
+  }
+  if (peer.routesVersion > routes && now >= this->nextRoutesRequest &&
+      !this->fetchedRoutes.isFetching()) {
+    this->nextRoutesRequest = now + internal::kRequestPeriod;
+    this->send(from, ViewRequest{ ViewContent::routes, routes, 0, 0 });
   }
-  this->nextRequest = now + internal::kRequestPeriod;
-  this->send(from,
-             ViewRequest{ this->board.registry.lastChange(),
-                          this->board.routes.version() });
 }
 
 void
@@ -316,10 +344,13 @@
 FleetController::sumReports(MilliTime now)
 {
   const auto targets = this->board.registry.targets();
+  this->board.zonePeers = this->members.liveInZone(now);
   for (TargetSlot slot = 0; slot < targets.size(); ++slot) {
     TargetLoad& load = this->board.observer.loadFor(slot);
     load.peerFlows = 0;
     load.peerBusy = 0;
+    load.flowsAtReport = load.flows;
+    load.busyAtReport = load.busy;
     if (!targets[slot].used) {
       continue;
     }
@@ -343,10 +374,18 @@
                         const FleetMember& sender,
                         MilliTime now)
 {
-  if (this->board.hasView()) {
-    this->sendUpdate(
-      sender.address,
-      this->encodeUpdate(body.targetsRevision, body.routesVersion, now));
+  if (!this->board.hasView()) {
+    return;
+  }
+  ViewRequest request = body;
+  if (request.transfer == 0) {
+    const auto added = this->served.add(
+      this->encodeUpdate(request.content, request.have, now), now);
+    request.transfer = added.value_or(0);
+  }
+  const std::string* encoded = this->served.find(request.transfer, now);
+  if (encoded != nullptr) {
+    this->sendWindow(sender.address, *encoded, request);
   }
 }
 
@@ -355,27 +394,38 @@
                         const FleetMember& sender,
                         MilliTime now)
 {
-  const auto encoded = this->transfers.add(sender.address, body);
-  if (!encoded) {
+  IncomingTransfers& fetched = body.content == ViewContent::targets
+                                 ? this->fetchedTargets
+                                 : this->fetchedRoutes;
+  const auto progress = fetched.add(sender.address, body, now);
+  if (progress.next) {
+    this->send(sender.address, *progress.next);
+  }
+  if (!progress.whole) {
     return;
   }
-  const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded->data()),
-                        encoded->size());
+  const std::string& encoded = *progress.whole;
+  const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded.data()),
+                        encoded.size());
   const auto update = decodeViewUpdate(bytes);
   if (update) {
-    this->onUpdate(*update, sender, now);
+    this->onUpdate(*update, body.content, sender, now);
   }
 }
 
 void
 FleetController::onUpdate(const ViewUpdate& update,
+                          ViewContent content,
                           const FleetMember& sender,
                           MilliTime now)
 {
   const std::uint64_t revision = update.view.targetsRevision;
-  if (update.isFull) {
+  const bool isNewer = revision > this->board.registry.lastChange();
+  const bool continues =
+    !update.isFull && update.targetsBase <= this->board.registry.lastChange();
+  if (content == ViewContent::targets && update.isFull && isNewer) {
     this->view.onSnapshot(revision, update.targets, now);
-  } else if (update.targetsBase <= this->board.registry.lastChange()) {
+  } else if (content == ViewContent::targets && continues) {
     this->view.onChanges(revision, update.targets, now);
   }
   if (update.routes) {
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -51,7 +51,9 @@
   TagBoard& board;
   ViewController& view;
   FleetMembers members;
-  ViewTransfers transfers;
+  OutgoingTransfers served;
+  IncomingTransfers fetchedTargets{ ViewContent::targets };
+  IncomingTransfers fetchedRoutes{ ViewContent::routes };
   std::vector<OutgoingFleetMessage> outbox;
   std::vector<std::uint64_t> foundDead;
   /// \brief How far a view went at a time.
@@ -65,12 +67,12 @@
   ViewPoint pushed;
   std::deque<ViewPoint> points; ///< of the last pushes
   MilliTime nextPush{};
-  std::uint64_t nextTransfer = 1;
   std::size_t nextReport = 0;
   MilliTime nextZoneBeat{};
   MilliTime nextFarBeat{};
   MilliTime nextSeedBeat{};
-  MilliTime nextRequest{};
+  MilliTime nextTargetsRequest{};
+  MilliTime nextRoutesRequest{};
 
   void onBody(const FleetHeartbeat& body,
               const FleetMember& sender,
@@ -80,6 +82,7 @@
               MilliTime now);
   void onBody(const ViewPart& body, const FleetMember& sender, MilliTime now);
   void onUpdate(const ViewUpdate& update,
+                ViewContent content,
                 const FleetMember& sender,
                 MilliTime now);
   void confirmView(const ViewVersions& peer, MilliTime now);
@@ -96,9 +99,12 @@
   FleetHeartbeat heartbeat(MilliTime now);
   std::vector<TargetReport> nextReports(MilliTime now);
   void sendHeartbeat(const Endpoint& to, MilliTime now);
-  void sendUpdate(const Endpoint& to, const std::string& encoded);
-  std::string encodeUpdate(std::uint64_t targetsSince,
-                           std::uint64_t routesSince,
+  void sendWindow(const Endpoint& to,
+                  const std::string& encoded,
+                  const ViewRequest& request);
+  void push(ViewContent content, std::uint64_t base, MilliTime now);
+  std::string encodeUpdate(ViewContent content,
+                           std::uint64_t since,
                            MilliTime now) const;
   template<typename Body>
   void send(const Endpoint& to, Body body);
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -113,6 +113,7 @@
     }
   }
   std::vector<const KnownMember*> chosen;
+  chosen.reserve(byZone.size());
   for (const auto& [zone, peers] : byZone) {
     chosen.push_back(peers[random.below(peers.size())]);
   }
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -61,23 +61,35 @@
   std::vector<TargetReport> reports;
 };
 
-/// \brief Asks for what is newer than the sender's view.
+/// \brief What an update holds. Targets are small and urgent, routes may be
+/// large, so neither waits for the other.
+enum class ViewContent : std::uint8_t
+{
+  targets,
+  routes,
+};
+
+/// \brief Asks for what is newer than the sender's view, or for the next parts
+/// of an update that is under way.
 struct ViewRequest
 {
-  std::uint64_t targetsRevision = 0;
-  std::uint64_t routesVersion = 0;
+  ViewContent content = ViewContent::targets;
+  std::uint64_t have = 0;     ///< the sender's revision of targets, or version
+  std::uint64_t transfer = 0; ///< 0 asks for a new update
+  std::uint32_t offset = 0;
 };
 
 /// \brief A part of an encoded ViewUpdate.
 struct ViewPart
 {
+  ViewContent content = ViewContent::targets;
   std::uint64_t transfer = 0; ///< names the update among the sender's
   std::uint32_t offset = 0;
   std::uint32_t total = 0;
   std::string bytes;
 };
 
-/// \brief Everything that a receiver with the base revision lacks.
+/// \brief The targets or the routes that a receiver with the base lacks.
 struct ViewUpdate
 {
   ViewVersions view;
--- a/buckthornwing/src/Fleet/ViewTransfer.cpp
+++ b/buckthornwing/src/Fleet/ViewTransfer.cpp
@@ -5,11 +5,16 @@
 namespace buckthornwing {
 
 std::vector<ViewPart>
-cutIntoParts(const std::string& encoded, std::uint64_t transfer)
+cutWindow(const std::string& encoded,
+          ViewContent content,
+          std::uint64_t transfer,
+          std::size_t offset)
 {
   std::vector<ViewPart> parts;
-  for (std::size_t at = 0; at < encoded.size(); at += kViewPartBytes) {
-    parts.push_back({ transfer,
+  const std::size_t end = std::min(encoded.size(), offset + kViewWindowBytes);
+  for (std::size_t at = offset; at < end; at += kViewPartBytes) {
+    parts.push_back({ content,
+                      transfer,
                       static_cast<std::uint32_t>(at),
                       static_cast<std::uint32_t>(encoded.size()),
                       encoded.substr(at, kViewPartBytes) });
@@ -17,16 +22,63 @@
   return parts;
 }
 
-std::optional<std::string>
-ViewTransfers::add(const Endpoint& sender, const ViewPart& part)
+std::optional<std::uint64_t>
+OutgoingTransfers::add(std::string encoded, MilliTime now)
 {
-  const std::size_t end = std::size_t{ part.offset } + part.bytes.size();
-  if (part.total > kMostBytes || end > part.total || part.bytes.empty()) {
+  std::erase_if(this->kept, [now](const Kept& each) {
+    return now - each.usedAt > kIdleLife;
+  });
+  const auto large =
+    std::count_if(this->kept.begin(), this->kept.end(), [](const Kept& each) {
+      return each.encoded.size() > kViewWindowBytes;
+    });
+  const bool isLarge = encoded.size() > kViewWindowBytes;
+  if (isLarge && static_cast<std::size_t>(large) >= kMostLargeTransfers) {
     return std::nullopt;
   }
+  this->kept.push_back({ this->nextId, std::move(encoded), now });
+  return this->nextId++;
+}
+
+const std::string*
+OutgoingTransfers::find(std::uint64_t transfer, MilliTime now)
+{
+  for (Kept& each : this->kept) {
+    if (each.id == transfer) {
+      each.usedAt = now;
+      return &each.encoded;
+    }
+  }
+  return nullptr;
+}
+
+std::uint32_t
+IncomingTransfers::firstMissing(const Transfer& transfer)
+{
+  std::uint32_t expected = 0;
+  for (const std::uint32_t offset : transfer.offsets) {
+    if (offset != expected) {
+      break;
+    }
+    expected += kViewPartBytes;
+  }
+  return expected;
+}
+
+IncomingTransfers::Progress
+IncomingTransfers::add(const Endpoint& sender,
+                       const ViewPart& part,
+                       MilliTime now)
+{
+  const std::size_t end = std::size_t{ part.offset } + part.bytes.size();
+  const bool isSound = part.total <= kMostBytes && end <= part.total &&
+                       !part.bytes.empty() && part.offset % kViewPartBytes == 0;
+  if (!isSound) {
+    return {};
+  }
   if (this->bySender.size() >= kMostSenders &&
       !this->bySender.contains(sender)) {
-    this->bySender.clear();
+    return {};
   }
   Transfer& transfer = this->bySender[sender];
   if (transfer.id != part.transfer || transfer.bytes.size() != part.total) {
@@ -34,18 +86,46 @@
     transfer.id = part.transfer;
     transfer.bytes.resize(part.total);
   }
-  if (!transfer.offsets.insert(part.offset).second) {
-    return std::nullopt;
+  transfer.heardAt = now;
+  transfer.tries = 0;
+  if (transfer.offsets.insert(part.offset).second) {
+    std::copy(part.bytes.begin(),
+              part.bytes.end(),
+              transfer.bytes.begin() + part.offset);
+    transfer.received += part.bytes.size();
   }
-  std::copy(
-    part.bytes.begin(), part.bytes.end(), transfer.bytes.begin() + part.offset);
-  transfer.received += part.bytes.size();
-  if (transfer.received < part.total) {
-    return std::nullopt;
+  Progress progress;
+  if (transfer.received >= part.total) {
+    progress.whole = std::move(transfer.bytes);
+    this->bySender.erase(sender);
+    return progress;
+  }
+  const bool endsWindow = end % kViewWindowBytes == 0;
+  if (endsWindow) {
+    progress.next =
+      ViewRequest{ this->content, 0, transfer.id, firstMissing(transfer) };
+  }
+  return progress;
+}
+
+std::vector<std::pair<Endpoint, ViewRequest>>
+IncomingTransfers::overdue(MilliTime now)
+{
+  std::vector<std::pair<Endpoint, ViewRequest>> requests;
+  for (auto& [sender, transfer] : this->bySender) {
+    if (now - transfer.heardAt < kPartWithin) {
+      continue;
+    }
+    transfer.heardAt = now;
+    ++transfer.tries;
+    requests.emplace_back(
+      sender,
+      ViewRequest{ this->content, 0, transfer.id, firstMissing(transfer) });
   }
-  std::string whole = std::move(transfer.bytes);
-  this->bySender.erase(sender);
-  return whole;
+  std::erase_if(this->bySender, [](const auto& entry) {
+    return entry.second.tries > kMostTries;
+  });
+  return requests;
 }
 
 }
--- a/buckthornwing/src/Fleet/ViewTransfer.h
+++ b/buckthornwing/src/Fleet/ViewTransfer.h
@@ -3,6 +3,7 @@
 
 #include "FleetMessage.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -11,24 +12,79 @@
 
 namespace buckthornwing {
 
-/// \brief Bytes of an encoded update in one message.
-inline constexpr std::size_t kViewPartBytes = 8000;
+/// \brief Bytes of an encoded update in one message; fits into one datagram of
+/// usual links.
+inline constexpr std::size_t kViewPartBytes = 1200;
+/// \brief Parts that are sent at once; the receiver asks for the next ones.
+inline constexpr std::size_t kViewWindowParts = 16;
+inline constexpr std::size_t kViewWindowBytes =
+  kViewPartBytes * kViewWindowParts;
 
-/// \returns an encoded update cut into parts.
+/// \returns up to a window of parts of an encoded update.
 std::vector<ViewPart>
-cutIntoParts(const std::string& encoded, std::uint64_t transfer);
+cutWindow(const std::string& encoded,
+          ViewContent content,
+          std::uint64_t transfer,
+          std::size_t offset);
 
-/// \brief Puts updates together from their parts, one for each sender.
-class ViewTransfers
+/// \brief Updates that receivers are fetching from this instance.
+class OutgoingTransfers
 {
 public:
-  /// \returns the encoded update once it is complete.
-  std::optional<std::string> add(const Endpoint& sender, const ViewPart& part);
+  /// \brief Keeps an encoded update until it was fetched.
+  /// \returns its name; nothing if too many are being fetched
+  std::optional<std::uint64_t> add(std::string encoded, MilliTime now);
+
+  /// \returns the update, or null if it is not kept any more.
+  const std::string* find(std::uint64_t transfer, MilliTime now);
+
+private:
+  /// More would only share the link and all be late.
+  static constexpr std::size_t kMostLargeTransfers = 4;
+  static constexpr MilliDuration kIdleLife{ 400 };
+
+  struct Kept
+  {
+    std::uint64_t id = 0;
+    std::string encoded;
+    MilliTime usedAt{};
+  };
+
+  std::deque<Kept> kept;
+  std::uint64_t nextId = 1;
+};
+
+/// \brief Updates of one content that this instance is fetching, one from each
+/// sender.
+class IncomingTransfers
+{
+public:
+  explicit IncomingTransfers(ViewContent content)
+    : content(content)
+  {
+  }
+
+  /// \brief What a part led to.
+  struct Progress
+  {
+    std::optional<std::string> whole; ///< the update, once it is complete
+    std::optional<ViewRequest> next;  ///< what to ask the sender for
+  };
+
+  Progress add(const Endpoint& sender, const ViewPart& part, MilliTime now);
+
+  /// \returns requests for parts that did not come; gives up after a while.
+  std::vector<std::pair<Endpoint, ViewRequest>> overdue(MilliTime now);
+
+  /// \returns whether an update is under way.
+  bool isFetching() const { return !this->bySender.empty(); }
 
 private:
   /// \brief No view is larger; a sender that claims so is not believed.
   static constexpr std::size_t kMostBytes = 8UL * 1024 * 1024;
-  static constexpr std::size_t kMostSenders = 64;
+  static constexpr std::size_t kMostSenders = 16;
+  static constexpr MilliDuration kPartWithin{ 150 };
+  static constexpr int kMostTries = 4;
 
   struct Transfer
   {
@@ -36,9 +92,14 @@
     std::string bytes;
     std::set<std::uint32_t> offsets; ///< of the parts that arrived
     std::size_t received = 0;
+    MilliTime heardAt{};
+    int tries = 0;
   };
 
+  ViewContent content;
   std::map<Endpoint, Transfer> bySender;
+
+  static std::uint32_t firstMissing(const Transfer& transfer);
 };
 
 }
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -40,9 +40,12 @@
   3: list<TargetReport> reports
 }
 
+// Asks for an update, or for the next parts of one that is under way.
 struct ViewRequest {
-  1: i64 targetsRevision
-  2: i64 routesVersion
+  1: i8 content
+  2: i64 have
+  3: i64 transfer
+  4: i32 offset
 }
 
 struct Label {
@@ -110,6 +113,7 @@
   2: i32 offset
   3: i32 total
   4: binary bytes
+  5: i8 content
 }
 
 union Body {
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -17,9 +17,9 @@
   unsigned status = 0; ///< 0 if there was no answer
   std::string body;
   std::map<std::string, std::string> fields; ///< of the answer's head
-  bool connected = false; ///< the server took the connection
-  bool refused = false;   ///< its machine answered that nothing listens
-  std::string failure; ///< the step and cause if there was no answer
+  bool connected = false;                    ///< the server took the connection
+  bool refused = false; ///< its machine answered that nothing listens
+  std::string failure;  ///< the step and cause if there was no answer
 };
 
 /// \brief Starts a GET request; \a done is called once, later.
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -77,8 +77,8 @@
   if (!this->isWanted(packet, decision, requestId)) {
     return;
   }
-  const std::size_t kind = static_cast<std::size_t>(decision.reason) * 2 +
-                           (requestId.empty() ? 0 : 1);
+  const std::size_t kind =
+    static_cast<std::size_t>(decision.reason) * 2 + (requestId.empty() ? 0 : 1);
   if (!this->budgets[kind].take(1, now)) {
     ++this->suppressedLines;
     return;
--- a/buckthornwing/src/Observation/TargetLoad.h
+++ b/buckthornwing/src/Observation/TargetLoad.h
@@ -17,6 +17,8 @@
   std::int32_t silentFlows = 0; ///< flows with repeats and no progress
   double peerFlows = 0;         ///< sum of what other instances reported
   double peerBusy = 0;
+  std::int32_t flowsAtReport = 0; ///< of this instance, when that was summed
+  std::int32_t busyAtReport = 0;
   MilliTime peerProgressAt{};
 };
 
--- a/buckthornwing/src/Steering/OpeningPace.cpp
+++ b/buckthornwing/src/Steering/OpeningPace.cpp
@@ -1,5 +1,7 @@
 #include "OpeningPace.h"
 
+#include "PlacementPolicy.h"
+
 namespace buckthornwing {
 namespace internal {
 
@@ -15,11 +17,10 @@
                         TargetSlot target,
                         std::uint32_t openingCopy) const
 {
-  const TargetLoad& load = board.observer.load(target);
   const double slots =
     static_cast<double>(board.registry.at(target).record.slots);
   return openingCopy < internal::kLastCopy && slots > 0 &&
-         load.busy + load.peerBusy >= internal::kCrowdedPerSlot * slots;
+         estimateLoad(board, target).busy >= internal::kCrowdedPerSlot * slots;
 }
 
 }
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -10,7 +10,7 @@
 constexpr double kDefaultSlots = 4;
 /// \brief What a request that must queue weighs against an open flow that may
 /// send one.
-constexpr double kQueueWeight = 6.0;
+constexpr double kQueueWeight = 1.0;
 /// \brief A cold target counts as this much busier.
 constexpr double kColdFactor = 1.6;
 /// \brief Load per slot by which another zone must be better.
@@ -47,19 +47,28 @@
   return kNoServiceSlot;
 }
 
+EstimatedLoad
+estimateLoad(const TagBoard& board, TargetSlot slot)
+{
+  const TargetLoad& load = board.observer.load(slot);
+  const auto peers = static_cast<double>(board.zonePeers);
+  const int newFlows = std::max(0, load.flows - load.flowsAtReport);
+  const int newBusy = std::max(0, load.busy - load.busyAtReport);
+  return EstimatedLoad{ load.flows + load.peerFlows + peers * newFlows,
+                        load.busy + load.peerBusy + peers * newBusy };
+}
+
 double
 placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now)
 {
   const KnownTarget& target = board.registry.at(slot);
-  const TargetLoad& load = board.observer.load(slot);
+  const EstimatedLoad load = estimateLoad(board, slot);
   const double slots = target.record.slots == 0
                          ? internal::kDefaultSlots
                          : static_cast<double>(target.record.slots);
-  const double flows = static_cast<double>(load.flows) + load.peerFlows;
-  const double busy = static_cast<double>(load.busy) + load.peerBusy;
   const double cold = now < target.slowUntil ? internal::kColdFactor : 1.0;
-  const double queued = std::max(0.0, busy + 1 - slots);
-  return (flows + 1 + internal::kQueueWeight * queued) * cold / slots;
+  const double queued = std::max(0.0, load.busy + 1 - slots);
+  return (load.flows + 1 + internal::kQueueWeight * queued) * cold / slots;
 }
 
 TargetSlot
--- a/buckthornwing/src/Steering/PlacementPolicy.h
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -46,6 +46,19 @@
 static_assert(PlacementPolicy<HashPlacement>);
 static_assert(PlacementPolicy<LeastLoadPlacement>);
 
+/// \brief Flows and requests in progress at a target, of all instances.
+struct EstimatedLoad
+{
+  double flows = 0;
+  double busy = 0;
+};
+
+/// \returns the load by own and reported counts. What this instance added
+/// since the reports is counted for each peer, because peers with the same
+/// reports have probably chosen alike.
+EstimatedLoad
+estimateLoad(const TagBoard& board, TargetSlot slot);
+
 /// \returns the load of a target per request slot, as placement compares it.
 double
 placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now);
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -57,6 +57,7 @@
   /// Time between the last two ticks: shows whether this process stood still.
   MilliDuration lastTickGap{};
   std::vector<TargetHealth> health; ///< by TargetSlot
+  std::size_t zonePeers = 0;        ///< live ones in the own zone
   bool stopping = false;
   std::vector<TagEvent> events;
 
--- a/buckthornwing/src/Tagging/CallerPacket.h
+++ b/buckthornwing/src/Tagging/CallerPacket.h
@@ -14,7 +14,7 @@
 {
   FlowKey flow; ///< the source is the caller
   FlowTag tag;
-  bool opens = false;   ///< first packet of a flow, or a copy of it
+  bool opens = false; ///< first packet of a flow, or a copy of it
   bool finishes = false;
   bool resets = false;
   std::uint32_t openingCopy = 0;  ///< copies of an opening sent before this one
--- a/buckthornwing/src/Tagging/TagIndex.cpp
+++ b/buckthornwing/src/Tagging/TagIndex.cpp
@@ -43,8 +43,7 @@
                const FlowKey& flow,
                TargetSlot slot) const
 {
-  const FlowTag tag =
-    this->scheme.mint(flow, registry.at(slot).record.number);
+  const FlowTag tag = this->scheme.mint(flow, registry.at(slot).record.number);
   return this->find(registry, tag, flow) == slot ? tag : FlowTag{};
 }
 
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -9,6 +9,7 @@
 #include <criterion/criterion.h>
 #include <rapidcheck.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 
@@ -78,13 +79,17 @@
     }
   }
 
+  /// \brief Messages take 5 ms, far less than the time between ticks.
   void run(MilliDuration span)
   {
+    constexpr MilliDuration kStep{ 5 };
     const MilliTime end = this->now + span;
     while (this->now < end) {
-      this->now = this->now + kTagTickPeriod;
-      for (auto& [address, engine] : this->engines) {
-        engine->tick(this->now);
+      this->now = this->now + kStep;
+      if (this->now.ms % kTagTickPeriod.ms == 0) {
+        for (auto& [address, engine] : this->engines) {
+          engine->tick(this->now);
+        }
       }
       this->deliver();
     }
@@ -282,7 +287,7 @@
   FleetMessage message;
   message.sender.id = "entry-1";
   message.sender.address = *parseEndpoint("127.0.0.1:7");
-  message.body = ViewRequest{ 3, 4 };
+  message.body = ViewRequest{ ViewContent::routes, 4, 0, 0 };
   FleetCodec ours(deriveFleetKey("the secret of this fleet"));
   FleetCodec theirs(deriveFleetKey("the secret of another"));
   FleetCodec receiver(deriveFleetKey("the secret of this fleet"));
@@ -291,7 +296,7 @@
             PeerFault::notAuthentic);
   const auto datagram = ours.seal(message);
   cr_assert(receiver.open(datagram, opened) == PeerFault::none);
-  cr_assert_eq(std::get<ViewRequest>(opened.body).routesVersion, 4);
+  cr_assert_eq(std::get<ViewRequest>(opened.body).have, 4);
   cr_assert(receiver.open(datagram, opened) == PeerFault::replayed);
 }
 
@@ -316,28 +321,157 @@
   cr_assert_eq(decoded->view.routesAge.ms, 34);
 }
 
-Test(fleet_codec, parts_come_together_in_any_order_and_twice)
+namespace {
+
+const Endpoint kSender = *parseEndpoint("127.0.0.1:7");
+
+/// \brief Fetches an update; \a loses decides which parts are lost.
+template<typename Loses>
+std::optional<std::string>
+fetch(const std::string& encoded, Loses loses)
+{
+  IncomingTransfers incoming(ViewContent::routes);
+  MilliTime now{ 1000 };
+  std::deque<ViewRequest> requests{ { ViewContent::routes, 0, 8, 0 } };
+  for (int round = 0; round < 400; ++round) {
+    while (!requests.empty()) {
+      const ViewRequest request = requests.front();
+      requests.pop_front();
+      for (const ViewPart& part :
+           cutWindow(encoded, ViewContent::routes, 8, request.offset)) {
+        if (loses()) {
+          continue;
+        }
+        auto progress = incoming.add(kSender, part, now);
+        if (progress.whole) {
+          return progress.whole;
+        }
+        if (progress.next) {
+          requests.push_back(*progress.next);
+        }
+      }
+    }
+    now = now + 200_ms;
+    for (const auto& [sender, request] : incoming.overdue(now)) {
+      requests.push_back(request);
+    }
+  }
+  return std::nullopt;
+}
+
+}
+
+/// A table of 2,100 routes sent at once overran links of 10 Mbit/s, and some
+/// instances kept the old version for more than 5 s.
+Test(fleet_codec, a_large_update_is_fetched_window_by_window)
+{
+  std::string encoded;
+  for (int i = 0; i < 130000; ++i) {
+    encoded += static_cast<char>('a' + i % 23);
+  }
+  std::size_t most = 0;
+  for (std::size_t at = 0; at < encoded.size(); at += kViewWindowBytes) {
+    most =
+      std::max(most, cutWindow(encoded, ViewContent::routes, 8, at).size());
+  }
+  cr_assert_leq(most, kViewWindowParts);
+  cr_assert(fetch(encoded, [] { return false; }) == encoded);
+  Random random{ 4 };
+  cr_assert(fetch(encoded, [&] { return random.unit() < 0.2; }) == encoded);
+}
+
+Test(fleet_codec, a_fetch_that_nobody_serves_is_given_up)
 {
-  const std::string encoded(20000, 'x');
-  auto parts = cutIntoParts(encoded, 8);
-  cr_assert_eq(parts.size(), 3);
-  ViewTransfers transfers;
-  const Endpoint sender = *parseEndpoint("127.0.0.1:7");
-  cr_assert_not(transfers.add(sender, parts[2]).has_value());
-  cr_assert_not(transfers.add(sender, parts[0]).has_value());
-  cr_assert_not(transfers.add(sender, parts[0]).has_value());
-  const auto whole = transfers.add(sender, parts[1]);
-  cr_assert(whole.has_value());
-  cr_assert(*whole == encoded);
+  IncomingTransfers incoming(ViewContent::routes);
+  incoming.add(kSender,
+               cutWindow(std::string(9000, 'x'), ViewContent::routes, 1, 0)[0],
+               {});
+  cr_assert(incoming.isFetching());
+  for (int i = 1; i < 30; ++i) {
+    incoming.overdue(MilliTime{ i * 200 });
+  }
+  cr_assert_not(incoming.isFetching());
+}
+
+Test(fleet_codec, only_some_large_updates_are_served_at_a_time)
+{
+  OutgoingTransfers outgoing;
+  const std::string large(kViewWindowBytes + 1, 'x');
+  int taken = 0;
+  for (int i = 0; i < 10; ++i) {
+    taken += outgoing.add(large, MilliTime{ 5 }) ? 1 : 0;
+  }
+  cr_assert_eq(taken, 4);
+  cr_assert(outgoing.add("small", MilliTime{ 5 }).has_value());
+  cr_assert(outgoing.add(large, MilliTime{ 2000 }).has_value());
 }
 
 Test(fleet_codec, a_part_that_claims_too_much_is_refused)
 {
-  ViewTransfers transfers;
-  const Endpoint sender = *parseEndpoint("127.0.0.1:7");
-  cr_assert_not(transfers.add(sender, { 1, 0, 0x7fffffff, "a" }).has_value());
-  cr_assert_not(transfers.add(sender, { 1, 9, 4, "abc" }).has_value());
-  cr_assert_not(transfers.add(sender, { 1, 0, 0, "" }).has_value());
+  IncomingTransfers transfers(ViewContent::routes);
+  for (const ViewPart& part :
+       { ViewPart{ ViewContent::routes, 1, 0, 0x7fffffff, "a" },
+         ViewPart{ ViewContent::routes, 1, 1200, 4, "abc" },
+         ViewPart{ ViewContent::routes, 1, 0, 0, "" },
+         ViewPart{ ViewContent::routes, 1, 7, 90, "abc" } }) {
+    cr_assert_not(transfers.add(kSender, part, {}).whole.has_value());
+    cr_assert_not(transfers.isFetching());
+  }
+}
+
+/// An update of routes says nothing of targets, not even up to which revision.
+Test(fleet, routes_without_news_leave_the_targets_alone)
+{
+  FleetWorld world;
+  const Endpoint first = world.add("a", 1);
+  world.load(first, 1);
+  FleetMessage message;
+  message.sender.id = "entry-9";
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  ViewUpdate update;
+  update.view.targetsRevision = 500;
+  for (ViewPart& part :
+       cutWindow(encodeViewUpdate(update), ViewContent::routes, 1, 0)) {
+    message.body = part;
+    world.at(first).onFleetMessage(message, world.now);
+  }
+  cr_assert_eq(world.at(first).board().registry.lastChange(), 6);
+  cr_assert_eq(world.at(first).board().registry.revision(), 6);
+}
+
+/// The largest change that the operators make: 1,848 routes more at once.
+Test(fleet, a_large_configuration_reaches_a_zone_within_the_bound)
+{
+  FleetWorld world;
+  world.loss = 0.02;
+  const Endpoint reader = world.add("a", 1);
+  for (std::uint16_t port = 2; port <= 30; ++port) {
+    world.add("a", port);
+  }
+  world.load(reader, 5);
+  world.run(8_s);
+  RouteTable large = twoRoutes(22);
+  for (int i = 0; i < 1848; ++i) {
+    Route route = large.routes[0];
+    route.name = "r-" + std::to_string(i);
+    route.destination.address.bytes[14] = static_cast<std::uint8_t>(i / 250);
+    route.destination.address.bytes[15] =
+      static_cast<std::uint8_t>(2 + i % 250);
+    large.routes.push_back(route);
+  }
+  world.at(reader).onRoutes(large, world.now);
+  const TargetChange drained =
+    listed(2, 20, "booking", "a", TargetState::draining);
+  world.at(reader).onTargetChanges(20, std::span(&drained, 1), world.now);
+  // A drain is known within a second, however large the routes are.
+  world.run(1_s);
+  for (const auto& [address, engine] : world.engines) {
+    cr_assert_eq(engine->board().registry.lastChange(), 20);
+  }
+  world.run(2_s);
+  for (const auto& [address, engine] : world.engines) {
+    cr_assert_eq(engine->board().routes.version(), 22);
+  }
 }
 
 Test(fleet_codec, any_bytes_are_decoded_or_refused)
