What a view confirms counts messages' delay; who stays behind its peers reads the store

Change: certainty is the start of the own read, or a second before what a peer confirms; 1 s behind a peer makes an instance read itself.

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -22,6 +22,10 @@
 /// \brief A push holds all news of this time, for members that missed some.
 constexpr MilliDuration kPushOverlap{ 800 };
 constexpr std::size_t kMostPushedBytes = 4800;
+/// \brief A message may wait so long at a link that is choked.
+constexpr MilliDuration kLongestDelay{ 1000 };
+/// \brief Who knows for so long that peers have newer views reads the store.
+constexpr MilliDuration kLongestBehind{ 1000 };
 constexpr std::size_t kMembersTold = 8;
 constexpr std::size_t kReportsTold = 40;
 /// \brief A peer's report counts for so long.
@@ -263,7 +267,9 @@
     std::min(this->board.targetsConfirmedAt, this->board.routesConfirmedAt);
   const std::int64_t delay =
     static_cast<std::int64_t>(rank) * internal::kJoinInterval;
-  return rank == 0 ||
+  const bool isBehind = this->behindSince.ms != 0 &&
+                        now - this->behindSince > internal::kLongestBehind;
+  return rank == 0 || isBehind ||
          now - oldest > MilliDuration{ internal::kOldView.ms + delay };
 }
 
@@ -299,8 +305,12 @@
 {
   // What a peer's older or equal view was confirmed by holds for this one.
   if (peer.targetsRevision <= this->board.registry.lastChange()) {
-    this->board.targetsConfirmedAt = std::max(
-      this->board.targetsConfirmedAt, MilliTime{ now.ms - peer.targetsAge.ms });
+    const MilliTime confirmedAt{ now.ms - peer.targetsAge.ms };
+    this->board.targetsConfirmedAt =
+      std::max(this->board.targetsConfirmedAt, confirmedAt);
+    const MilliTime certainAt{ confirmedAt.ms - internal::kLongestDelay.ms };
+    this->board.targetsCertainAt =
+      std::max(this->board.targetsCertainAt, certainAt);
   }
   if (peer.routesVersion <= this->board.routes.version()) {
     this->board.routesConfirmedAt = std::max(
@@ -315,6 +325,16 @@
 {
   const std::uint64_t targets = this->board.registry.lastChange();
   const std::uint64_t routes = this->board.routes.version();
+  const bool isBehind =
+    peer.targetsRevision > targets || peer.routesVersion > routes;
+  if (isBehind && this->behindSince.ms == 0) {
+    this->behindSince = now;
+  }
+  this->newest.targets = std::max(this->newest.targets, peer.targetsRevision);
+  this->newest.routes = std::max(this->newest.routes, peer.routesVersion);
+  if (targets >= this->newest.targets && routes >= this->newest.routes) {
+    this->behindSince = MilliTime{};
+  }
   if (peer.targetsRevision > targets && now >= this->nextTargetsRequest &&
       !this->fetchedTargets.isFetching()) {
     this->nextTargetsRequest = now + internal::kRequestPeriod;
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -65,6 +65,8 @@
   };
 
   ViewPoint pushed;
+  ViewPoint newest;             ///< that any peer told of
+  MilliTime behindSince{};      ///< 0 if no peer has a newer view
   std::deque<ViewPoint> points; ///< of the last pushes
   MilliTime nextPush{};
   std::size_t nextReport = 0;
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -51,6 +51,8 @@
   TagCounters counters;
   /// When the platform, or a peer that had it from there, last confirmed them.
   MilliTime targetsConfirmedAt{};
+  /// Up to here the targets are complete for certain, messages' delay counted.
+  MilliTime targetsCertainAt{};
   MilliTime routesConfirmedAt{};
   /// The store's revision that news of the routes continue from.
   std::uint64_t routesRevision = 0;
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -40,22 +40,26 @@
 void
 TagEngine::onTargetListing(std::uint64_t asOf,
                            std::span<const TargetChange> listed,
+                           MilliTime readAt,
                            MilliTime now)
 {
   this->noteContact(now);
   this->view.onSnapshot(asOf, listed, now);
   this->state.targetsConfirmedAt = now;
+  this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
   this->fleet.pushView(now);
 }
 
 void
 TagEngine::onTargetChanges(std::uint64_t asOf,
                            std::span<const TargetChange> changes,
+                           MilliTime readAt,
                            MilliTime now)
 {
   this->noteContact(now);
   this->view.onChanges(asOf, changes, now);
   this->state.targetsConfirmedAt = now;
+  this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
   this->fleet.pushView(now);
 }
 
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -22,12 +22,16 @@
   SteeringDecision onPacket(const CallerPacket& packet, MilliTime now);
 
   /// \brief Takes a full list of targets from the platform.
+  /// \param readAt no later than when the platform read it
   void onTargetListing(std::uint64_t asOf,
                        std::span<const TargetChange> listed,
+                       MilliTime readAt,
                        MilliTime now);
   /// \brief Takes what changed since the last call, maybe nothing.
+  /// \param readAt no later than when the platform read it
   void onTargetChanges(std::uint64_t asOf,
                        std::span<const TargetChange> changes,
+                       MilliTime readAt,
                        MilliTime now);
   /// \brief Takes a configuration from the platform.
   void onRoutes(RouteTable table, MilliTime now);
--- a/buckthornwing/src/Steering/UnknownTargets.cpp
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -19,7 +19,7 @@
   const MilliTime seen = this->firstSeen.try_emplace(flow, now).first->second;
   const bool isWell =
     now - board.registry.lastUnwell() > internal::kRegistryRecovery;
-  if (!isWell || board.targetsConfirmedAt < seen) {
+  if (!isWell || board.targetsCertainAt < seen) {
     return false;
   }
   this->firstSeen.erase(flow);
--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -164,7 +164,7 @@
         static_cast<std::uint32_t>(this->pattern.slots);
     }
     engine->onRoutes(twoRoutes(1), this->now);
-    engine->onTargetListing(100, changes, this->now);
+    engine->onTargetListing(100, changes, this->now, this->now);
     return engine;
   }
 
@@ -196,7 +196,7 @@
       return;
     }
     for (auto& engine : this->engines) {
-      engine->onTargetChanges(100, {}, this->now);
+      engine->onTargetChanges(100, {}, this->now, this->now);
       engine->onRoutesConfirmed(1, this->now);
       engine->tick(this->now);
     }
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -128,7 +128,7 @@
     }
     changes.push_back(listed(100, 100, "sheets"));
     this->engine.onRoutes(twoRoutes(1), this->now);
-    this->engine.onTargetListing(100, changes, this->now);
+    this->engine.onTargetListing(100, changes, this->now, this->now);
   }
 
   static TagSettings settings(TagPolicySettings policy,
@@ -165,7 +165,7 @@
     while (this->now < end) {
       this->now = this->now + kTagTickPeriod;
       if (confirmed) {
-        this->engine.onTargetChanges(0, {}, this->now);
+        this->engine.onTargetChanges(0, {}, this->now, this->now);
         this->engine.onRoutesConfirmed(0, this->now);
       }
       this->engine.tick(this->now);
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -53,7 +53,7 @@
     for (std::uint64_t i = 1; i <= 6; ++i) {
       changes.push_back(listed(i, i, "booking", i % 2 == 0 ? "a" : "b"));
     }
-    this->at(address).onTargetListing(6, changes, this->now);
+    this->at(address).onTargetListing(6, changes, this->now, this->now);
     this->at(address).onRoutes(twoRoutes(version), this->now);
   }
 
@@ -125,7 +125,8 @@
   world.at(reader).onRoutes(twoRoutes(9), world.now);
   const TargetChange drained =
     listed(2, 20, "booking", "a", TargetState::draining);
-  world.at(reader).onTargetChanges(20, std::span(&drained, 1), world.now);
+  world.at(reader).onTargetChanges(
+    20, std::span(&drained, 1), world.now, world.now);
   world.run(500_ms);
   cr_assert_eq(world.at(away).board().routes.version(), 9);
   const TargetRegistry& registry = world.at(away).board().registry;
@@ -205,7 +206,7 @@
     world.run(200_ms);
     for (auto& [address, engine] : world.engines) {
       if (engine->shouldReadStore(world.now)) {
-        engine->onTargetChanges(6, {}, world.now);
+        engine->onTargetChanges(6, {}, world.now, world.now);
         engine->onRoutesConfirmed(1, world.now);
       }
     }
@@ -419,6 +420,52 @@
   }
 }
 
+/// An instance that only hears that there is news gets them from the store.
+Test(fleet, who_stays_behind_its_peers_reads_the_store)
+{
+  FleetWorld world;
+  const Endpoint first = world.add("a", 1);
+  world.load(first, 1);
+  FleetMessage message;
+  message.sender.id = "entry-0";
+  message.sender.zone = "a";
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetHeartbeat beat;
+  beat.view.targetsRevision = 7;
+  beat.view.routesVersion = 1;
+  message.body = beat;
+  // A second member whose id comes first by hash makes this one no reader.
+  for (int i = 0; world.at(first).shouldReadStore(world.now); ++i) {
+    cr_assert_lt(i, 100);
+    message.sender.id = "entry-0-" + std::to_string(i);
+    message.sender.address.port = static_cast<std::uint16_t>(20 + i);
+    world.at(first).onFleetMessage(message, world.now);
+  }
+  for (int i = 0; i < 12; ++i) {
+    world.now = world.now + 100_ms;
+    world.at(first).onFleetMessage(message, world.now);
+  }
+  cr_assert(world.at(first).shouldReadStore(world.now));
+}
+
+/// A heartbeat that waited at a choked link confirms less than it seems to.
+Test(fleet, what_peers_confirm_is_certain_only_for_an_earlier_time)
+{
+  FleetWorld world;
+  const Endpoint first = world.add("a", 1);
+  world.load(first, 1);
+  const MilliTime listedAt = world.now;
+  FleetMessage message;
+  message.sender.id = "entry-9";
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  message.body = FleetHeartbeat{};
+  world.now = world.now + 900_ms;
+  world.at(first).onFleetMessage(message, world.now);
+  const TagBoard& board = world.at(first).board();
+  cr_assert(board.targetsConfirmedAt == world.now);
+  cr_assert(board.targetsCertainAt == listedAt);
+}
+
 /// An update of routes says nothing of targets, not even up to which revision.
 Test(fleet, routes_without_news_leave_the_targets_alone)
 {
@@ -462,7 +509,8 @@
   world.at(reader).onRoutes(large, world.now);
   const TargetChange drained =
     listed(2, 20, "booking", "a", TargetState::draining);
-  world.at(reader).onTargetChanges(20, std::span(&drained, 1), world.now);
+  world.at(reader).onTargetChanges(
+    20, std::span(&drained, 1), world.now, world.now);
   // A drain is known within a second, however large the routes are.
   world.run(1_s);
   for (const auto& [address, engine] : world.engines) {
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -77,7 +77,8 @@
     world.engine.board().registry.at(placed.target).record.number;
   const TargetChange drained =
     listed(number, 200, "booking", "a", TargetState::draining);
-  world.engine.onTargetChanges(200, std::span(&drained, 1), world.now);
+  world.engine.onTargetChanges(
+    200, std::span(&drained, 1), world.now, world.now);
   const auto later1 = world.send(later(flowOf(1), placed.tag, 1000, 1, 100));
   cr_assert(later1.outcome == SteeringOutcome::forward);
   cr_assert_eq(later1.target, placed.target);
@@ -215,7 +216,7 @@
   OneEngine world(2);
   const std::vector<TargetChange> far{ listed(50, 150, "booking", "b"),
                                        listed(51, 151, "booking", "b") };
-  world.engine.onTargetChanges(151, far, world.now);
+  world.engine.onTargetChanges(151, far, world.now, world.now);
   for (unsigned client = 0; client < 40; ++client) {
     const auto decision = world.open(flowOf(client));
     const auto& record =
@@ -223,7 +224,7 @@
     cr_assert_eq(record.zone, "a");
   }
   const std::vector<TargetChange> ended{ gone(1, 200), gone(2, 201) };
-  world.engine.onTargetChanges(201, ended, world.now);
+  world.engine.onTargetChanges(201, ended, world.now, world.now);
   const auto decision = world.send(opening(flowOf(99)));
   cr_assert(decision.outcome == SteeringOutcome::forward);
 }
@@ -381,7 +382,7 @@
   const auto packet = later(flow, placed.tag, 1000, 1, 100);
   cr_assert(world.send(packet).outcome == SteeringOutcome::forward);
   const TargetChange end = gone(100, 300);
-  world.engine.onTargetChanges(300, std::span(&end, 1), world.now);
+  world.engine.onTargetChanges(300, std::span(&end, 1), world.now, world.now);
   const auto decision = world.send(packet);
   cr_assert(decision.outcome == SteeringOutcome::reset);
   cr_assert(decision.reason == SteeringReason::targetGone);
@@ -432,7 +433,7 @@
   const std::uint64_t number =
     world.engine.board().registry.at(placed.target).record.number;
   const TargetChange end = gone(number, 300);
-  world.engine.onTargetChanges(300, std::span(&end, 1), world.now);
+  world.engine.onTargetChanges(300, std::span(&end, 1), world.now, world.now);
   const auto packet = later(flowOf(1), placed.tag, 1000, 1, 100);
   cr_assert(world.send(packet).outcome == SteeringOutcome::forward);
   answerProbes(world, ProbeResult::otherTarget);
