--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -53,6 +53,7 @@
 {
   source.start();
   source.stop();
+  source.refreshTargets();
   source.probe(target, healthPath, done);
   {
     source.calls()
@@ -191,6 +192,9 @@
                                          : Codec::requestId(packet.payload);
     this->log.decision(this->engine.board(), packet, decision, requestId, now);
     this->startProbes();
+    if (this->engine.wantsListing(now)) {
+      this->source.refreshTargets();
+    }
   }
 
   void carryOut(const SteeringDecision& decision,
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -10,7 +10,7 @@
 constexpr double kDefaultSlots = 4;
 /// \brief What a request that must queue weighs against an open flow that may
 /// send one.
-constexpr double kQueueWeight = 1.0;
+constexpr double kQueueWeight = 6.0;
 /// \brief A cold target counts as this much busier.
 constexpr double kColdFactor = 1.6;
 /// \brief Load per slot by which another zone must be better.
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -21,6 +21,12 @@
 
   SteeringDecision decide(const CallerPacket& packet, MilliTime now);
 
+  /// \returns whether a full read of the registry is needed now.
+  bool wantsListing(MilliTime now)
+  {
+    return this->unknownTargets.wantsListing(now);
+  }
+
 private:
   TagBoard& board;
   HealthController& health;
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -57,6 +57,9 @@
   /// \returns the path of a health request to a target; "/" if no service
   /// that selects it names one.
   std::string healthPathOf(TargetSlot target) const;
+  /// \returns whether to list the targets at once: flows wait to know whether
+  /// their target has left.
+  bool wantsListing(MilliTime now) { return this->steering.wantsListing(now); }
   const FleetMembers& members() const { return this->fleet.fleet(); }
 
   std::vector<TagEvent> takeEvents();
--- a/buckthornwing/src/Steering/UnknownTargets.cpp
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -7,6 +7,7 @@
 /// return.
 constexpr MilliDuration kRegistryRecovery{ 2500 };
 constexpr std::size_t kMostUnknownFlows = 10000;
+constexpr MilliDuration kListingPeriod{ 1000 };
 
 }
 
@@ -20,10 +21,22 @@
   const bool isWell =
     now - board.registry.lastUnwell() > internal::kRegistryRecovery;
   if (!isWell || board.targetsCertainAt < seen) {
+    this->isWaiting = this->isWaiting || isWell;
     return false;
   }
   this->firstSeen.erase(flow);
   return true;
 }
 
+bool
+UnknownTargets::wantsListing(MilliTime now)
+{
+  if (!this->isWaiting || now < this->nextListing) {
+    return false;
+  }
+  this->isWaiting = false;
+  this->nextListing = now + internal::kListingPeriod;
+  return true;
+}
+
 }
--- a/buckthornwing/src/Steering/UnknownTargets.h
+++ b/buckthornwing/src/Steering/UnknownTargets.h
@@ -19,7 +19,13 @@
   /// \returns whether the target of a flow with an unknown tag has left.
   bool isGoneForGood(const TagBoard& board, FlowId flow, MilliTime now);
 
+  /// \returns whether a full read of the registry would settle a flow; at most
+  /// once a second.
+  bool wantsListing(MilliTime now);
+
 private:
+  bool isWaiting = false;
+  MilliTime nextListing{};
   boost::unordered_flat_map<FlowId, MilliTime, std::hash<FlowId>> firstSeen;
 };
 
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -182,6 +182,20 @@
   cr_assert(decision.reason == SteeringReason::unknownTag);
 }
 
+Test(steering, an_unknown_target_asks_for_a_listing_once_a_second)
+{
+  OneEngine world;
+  cr_assert_not(world.engine.wantsListing(world.now));
+  world.now = world.now + 10_ms;
+  const auto packet = later(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
+  world.send(packet);
+  cr_assert(world.engine.wantsListing(world.now));
+  world.send(packet);
+  cr_assert_not(world.engine.wantsListing(world.now));
+  world.now = world.now + 1_s;
+  cr_assert(world.engine.wantsListing(world.now));
+}
+
 Test(steering, an_unknown_target_is_not_given_up_while_the_store_is_unwell)
 {
   OneEngine world;
