The pace of openings goes by what was seen alone

The guess stays in placement, where a wrong one costs nothing. Test: a_guess_at_peers_choices_drops_no_opening fails before the change.

--- a/buckthornwing/src/Steering/OpeningPace.cpp
+++ b/buckthornwing/src/Steering/OpeningPace.cpp
@@ -1,7 +1,5 @@
 #include "OpeningPace.h"
 
-#include "PlacementPolicy.h"
-
 namespace buckthornwing {
 namespace internal {
 
@@ -17,10 +15,12 @@
                         TargetSlot target,
                         std::uint32_t openingCopy) const
 {
+  // Only what was seen: a guess at peers' choices would drop openings in calm.
+  const TargetLoad& load = board.observer.load(target);
   const double slots =
     static_cast<double>(board.registry.at(target).record.slots);
   return openingCopy < internal::kLastCopy && slots > 0 &&
-         estimateLoad(board, target).busy >= internal::kCrowdedPerSlot * slots;
+         load.busy + load.peerBusy >= internal::kCrowdedPerSlot * slots;
 }
 
 }
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -467,3 +467,23 @@
   cr_assert(world.send(opening(flow, 1)).reason == SteeringReason::paced);
   cr_assert(world.send(opening(flow, 2)).outcome == SteeringOutcome::forward);
 }
+
+/// Short downloads: an instance guessed that two peers had opened as many as it
+/// had itself, and dropped openings on a calm day.
+Test(pace, a_guess_at_peers_choices_drops_no_opening)
+{
+  OneEngine world(1);
+  for (const char* peer : { "127.0.0.1:8", "127.0.0.1:9" }) {
+    FleetMessage message;
+    message.sender.id = peer;
+    message.sender.zone = "a";
+    message.sender.address = *parseEndpoint(peer);
+    message.body = FleetHeartbeat{};
+    world.engine.onFleetMessage(message, world.now);
+  }
+  world.run(400_ms);
+  cr_assert_eq(world.engine.board().zonePeers, 2);
+  for (unsigned client = 0; client < 4; ++client) {
+    cr_assert(world.open(flowOf(client)).outcome == SteeringOutcome::forward);
+  }
+}
