--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -428,9 +428,11 @@
   const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded.data()),
                         encoded.size());
   const auto update = decodeViewUpdate(bytes);
-  if (update) {
-    this->onUpdate(*update, body.content, sender, now);
+  if (!update) {
+    ++this->board.counters.malformedUpdates;
+    return;
   }
+  this->onUpdate(*update, body.content, sender, now);
 }
 
 void
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -80,6 +80,20 @@
   internal::MetricsWriter writer;
   internal::writeDecisions(board.counters, writer);
   internal::writeHost(host, writer);
+  writer.single(
+    "probes_total", "counter", "Probes of targets", board.counters.probes);
+  writer.single("repeats_total",
+                "counter",
+                "Packets that callers sent again",
+                board.counters.repeats);
+  writer.single("registry_entries_unreadable_total",
+                "counter",
+                "Entries of the registry that are no target",
+                board.counters.unreadableEntries);
+  writer.single("peer_updates_malformed_total",
+                "counter",
+                "Views from peers that could not be read",
+                board.counters.malformedUpdates);
   writer.single("tracked_flows",
                 "gauge",
                 "Flows whose packets pass here",
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -22,10 +22,10 @@
 {
   std::array<std::uint64_t, kSteeringReasonCount> decisions{};
   std::array<std::uint64_t, kSteeringOutcomeCount> outcomes{};
-  std::uint64_t openings = 0;
-  std::uint64_t openingCopies = 0;
   std::uint64_t repeats = 0;
   std::uint64_t probes = 0;
+  std::uint64_t unreadableEntries = 0; ///< of the registry
+  std::uint64_t malformedUpdates = 0;  ///< from peers
 };
 
 /// \brief State of one instance before a tagging fabric; controllers read and
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -7,6 +7,7 @@
                           std::span<const TargetChange> changes,
                           MilliTime now)
 {
+  this->countUnreadable(changes);
   const auto slots = this->board.registry.applyChanges(asOf, changes, now);
   this->onChanged(slots, now);
 }
@@ -16,6 +17,7 @@
                            std::span<const TargetChange> listed,
                            MilliTime now)
 {
+  this->countUnreadable(listed);
   const bool isFirst = !this->board.registry.loaded();
   const auto slots = this->board.registry.applySnapshot(asOf, listed, now);
   this->onChanged(slots, now);
@@ -29,6 +31,15 @@
   }
 }
 
+void
+ViewController::countUnreadable(std::span<const TargetChange> changes)
+{
+  for (const TargetChange& change : changes) {
+    const bool isUnreadable = change.kind == ChangeKind::unreadable;
+    this->board.counters.unreadableEntries += isUnreadable ? 1 : 0;
+  }
+}
+
 bool
 ViewController::onRoutes(RouteTable table, MilliTime now)
 {
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -32,6 +32,7 @@
 private:
   TagBoard& board;
 
+  void countUnreadable(std::span<const TargetChange> changes);
   void onNewRoutes(MilliTime now);
   void onChanged(std::span<const TargetSlot> slots, MilliTime now);
   void report(TargetSlot slot);
