An emulator of the platform, a fault soak over it, and what it found

A fresh process lists the store, doesn't find the target of a flow's tag, has seen no failure of the store and so takes the target as gone for good: it reset open flows of living targets, a booking's among them. Ruled out: false suspicion (no target was suspected before the resets), tags (the same tags were forwarded again once the entries were back). Change: for 2.5 s after the registry was first known, flows whose requests may run once are held instead. Flows of requests that may be repeated are still reset at once: they are served sooner by another target than by waiting, and a test keeps it so.

Peers may be told another address than the one bound (peer_advertised_address), as behind a proxy.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build demo test lint measure bench fuzz format packages
+.PHONY: build demo test lint measure bench fuzz soak format packages
 BUILD := build
 
 packages:
@@ -28,5 +28,8 @@
 bench: build
 	@$(BUILD)/bench
 
+soak: build
+	@scripts/soak $(SEEDS)
+
 fuzz: build
 	@scripts/fuzz $(or $(MINUTES),1)
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -33,7 +33,7 @@
 /// \brief A view older than this makes more instances read the store.
 constexpr MilliDuration kOldView{ 2000 };
 /// \brief Those join in one after the other, so that the first may be enough.
-constexpr std::int64_t kJoinInterval = 150;
+constexpr std::int64_t kJoinIntervalMs = 150;
 
 }
 
@@ -42,7 +42,7 @@
   , view(view)
   , members({ board.settings.id,
               board.settings.zone,
-              board.settings.peerAddress,
+              board.settings.advertisedAddress,
               board.settings.incarnation,
               false })
 {
@@ -266,7 +266,7 @@
   const MilliTime oldest =
     std::min(this->board.targetsConfirmedAt, this->board.routesConfirmedAt);
   const std::int64_t delay =
-    static_cast<std::int64_t>(rank) * internal::kJoinInterval;
+    static_cast<std::int64_t>(rank) * internal::kJoinIntervalMs;
   const bool isBehind = this->behindSince.ms != 0 &&
                         now - this->behindSince > internal::kLongestBehind;
   return rank == 0 || isBehind ||
--- /dev/null
+++ b/buckthornwing/src/Io/Precompiled.h
@@ -0,0 +1,20 @@
+/// \file
+/// \brief Headers of libraries that most programs compile; precompiled once.
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+
+#include <array>
+#include <chrono>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -17,6 +17,10 @@
   settings.tag.id = reader.text("id");
   settings.tag.zone = reader.text("zone");
   settings.tag.peerAddress = reader.endpoint("peer_address");
+  settings.tag.advertisedAddress =
+    reader.field("peer_advertised_address", false) == nullptr
+      ? settings.tag.peerAddress
+      : reader.endpoint("peer_advertised_address");
   settings.packetAddress = reader.endpoint("packet_address");
   settings.readyAddress = reader.endpoint("ready_address");
   settings.operatorsAddress = reader.endpoint("operators_address");
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -160,7 +160,10 @@
     this->board.tags.find(this->board.registry, packet.tag, packet.flow);
   if (decision.target == kNoTargetSlot) {
     decision.reason = SteeringReason::unknownTag;
-    decision.outcome = this->unknownTargets.isGoneForGood(this->board, id, now)
+    const bool isRepeatable =
+      decision.route->kind != RouteKind::nonIdempotent;
+    decision.outcome = this->unknownTargets.isGoneForGood(
+                         this->board, id, isRepeatable, now)
                          ? SteeringOutcome::reset
                          : SteeringOutcome::hold;
     return decision;
--- a/buckthornwing/src/Steering/TagSettings.h
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -23,7 +23,8 @@
 {
   std::string id;
   std::string zone;
-  Endpoint peerAddress;
+  Endpoint peerAddress;            ///< bound for messages between instances
+  Endpoint advertisedAddress;      ///< where peers send them
   std::vector<Endpoint> seeds;     ///< peers to contact first
   std::uint64_t tagSecret = 0;     ///< equal on all instances
   std::uint64_t seed = 0;          ///< of random choices
--- a/buckthornwing/src/Steering/UnknownTargets.cpp
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -1,5 +1,7 @@
 #include "UnknownTargets.h"
 
+#include <algorithm>
+
 namespace buckthornwing {
 namespace internal {
 
@@ -12,14 +14,20 @@
 }
 
 bool
-UnknownTargets::isGoneForGood(const TagBoard& board, FlowId flow, MilliTime now)
+UnknownTargets::isGoneForGood(const TagBoard& board,
+                              FlowId flow,
+                              bool isRepeatable,
+                              MilliTime now)
 {
   if (this->firstSeen.size() >= internal::kMostUnknownFlows) {
     this->firstSeen.clear();
   }
   const MilliTime seen = this->firstSeen.try_emplace(flow, now).first->second;
-  const bool isWell =
-    now - board.registry.lastUnwell() > internal::kRegistryRecovery;
+  const MilliTime uncertainAt =
+    isRepeatable
+      ? board.registry.lastUnwell()
+      : std::max(board.registry.lastUnwell(), board.registry.loadedAt());
+  const bool isWell = now - uncertainAt > internal::kRegistryRecovery;
   if (!isWell || board.targetsCertainAt < seen) {
     this->isWaiting = this->isWaiting || isWell;
     return false;
--- a/buckthornwing/src/Steering/UnknownTargets.h
+++ b/buckthornwing/src/Steering/UnknownTargets.h
@@ -12,12 +12,17 @@
 ///
 /// A flow's target was registered before the flow was opened. So if the
 /// registry, read after a packet of the flow was seen, does not list it, it has
-/// left, unless the registry lost entries a moment ago.
+/// left, unless the registry lost entries a moment ago. A process that has just
+/// read the registry for the first time can't know whether it did.
 class UnknownTargets
 {
 public:
+  /// \param isRepeatable a mistake costs the caller no more than another try
   /// \returns whether the target of a flow with an unknown tag has left.
-  bool isGoneForGood(const TagBoard& board, FlowId flow, MilliTime now);
+  bool isGoneForGood(const TagBoard& board,
+                     FlowId flow,
+                     bool isRepeatable,
+                     MilliTime now);
 
   /// \returns whether a full read of the registry would settle a flow; at most
   /// once a second.
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -103,6 +103,16 @@
   return true;
 }
 
+void
+TargetRegistry::advance(std::uint64_t asOf, MilliTime now)
+{
+  if (!this->loaded()) {
+    this->firstLoadedAt = now;
+  }
+  this->asOfRevision =
+    std::max({ this->asOfRevision, asOf, this->changeRevision });
+}
+
 std::vector<TargetSlot>
 TargetRegistry::applyChanges(std::uint64_t asOf,
                              std::span<const TargetChange> changes,
@@ -116,8 +126,7 @@
       changed.push_back(slot);
     }
   }
-  this->asOfRevision =
-    std::max({ this->asOfRevision, asOf, this->changeRevision });
+  this->advance(asOf, now);
   return changed;
 }
 
@@ -142,8 +151,7 @@
       changed.push_back(slot);
     }
   }
-  this->asOfRevision =
-    std::max({ this->asOfRevision, asOf, this->changeRevision });
+  this->advance(asOf, now);
   return changed;
 }
 
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -78,6 +78,8 @@
   /// \returns the revision of the newest change of a target.
   std::uint64_t lastChange() const { return this->changeRevision; }
   MilliTime lastUnwell() const { return this->unwellAt; }
+  /// \returns when the registry was first known.
+  MilliTime loadedAt() const { return this->firstLoadedAt; }
 
   std::span<const KnownTarget> targets() const { return this->known; }
   const KnownTarget& at(TargetSlot slot) const { return this->known[slot]; }
@@ -99,8 +101,10 @@
   std::uint64_t changeRevision = 0;
   std::uint64_t forgottenRevision = 0; ///< newest end that was forgotten
   MilliTime unwellAt{ -1000000 };
+  MilliTime firstLoadedAt{};
 
   TargetSlot slotFor(const std::string& id);
+  void advance(std::uint64_t asOf, MilliTime now);
   bool apply(const TargetChange& change, MilliTime now, TargetSlot& slot);
   void list(KnownTarget& target, const TargetChange& change, MilliTime now);
   void remove(KnownTarget& target, MilliTime now);
--- /dev/null
+++ b/emulator/Callers.h
@@ -0,0 +1,113 @@
+#ifndef BUCKTHORNWING_EMULATOR_CALLERS_H
+#define BUCKTHORNWING_EMULATOR_CALLERS_H
+
+#include "World.h"
+
+#include <array>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace buckthornwing::emulator {
+
+/// \brief A request as its caller sees it, over all its tries.
+struct CallerRequest
+{
+  MilliTime askedAt{};
+  int tries = 0;
+  std::string id; ///< of the present try
+};
+
+/// \brief A flow as its caller sees it.
+struct CallerFlow
+{
+  static constexpr std::size_t kOpenings = 3;
+
+  enum class State : std::uint8_t
+  {
+    opening,
+    open,
+    closed,
+  };
+
+  FlowKey key;
+  std::size_t caller = 0;
+  std::size_t route = 0;
+  State state = State::opening;
+  std::array<MilliTime, kOpenings> openingsAt{};
+  std::size_t openings = 0;
+  MilliTime openAt{};
+  MilliTime usedAt{};
+  FlowTag tag;
+  std::uint64_t target = 0;
+  std::uint64_t targetIncarnation = 0;
+  std::uint32_t sequence = 0;
+  std::uint32_t acknowledged = 0;
+  std::string requestText; ///< under way, empty if none
+  MilliTime repeatAt{};
+  MilliDuration repeatAfter{};
+};
+
+/// \brief What callers tell the rest of a run.
+struct CallerHooks
+{
+  std::function<void(const CallerFlow&, const Endpoint& sender)> onReset;
+};
+
+/// \brief The callers: they keep flows open, ask one request at a time and
+/// try again when a flow is reset or never opens.
+class Callers
+{
+public:
+  Callers(World& world, CallerHooks hooks, std::uint64_t seed);
+
+  boost::leaf::result<void> start(std::size_t count);
+
+  /// \brief Lets no new request start.
+  void finish() { this->isFinishing = true; }
+
+  void onWord(const TargetWord& word);
+
+  /// \returns the flow, while it is known.
+  const CallerFlow* find(const FlowKey& key) const;
+
+  /// \brief Requests asked from now on must all be answered.
+  void demandAnswers() { this->demandedFrom = bootTime(); }
+
+private:
+  struct Caller
+  {
+    std::size_t zone = 0;
+    std::optional<FlowKey> flow;
+    std::optional<CallerRequest> request;
+    MilliTime nextAt{};
+  };
+
+  World& world;
+  CallerHooks hooks;
+  Random random;
+  std::array<Datagrams, 2> sockets;
+  std::vector<Caller> callers;
+  std::map<FlowKey, CallerFlow> flows;
+  std::uint16_t nextPort = 1024;
+  std::uint64_t nextRequest = 1;
+  bool isFinishing = false;
+  std::optional<MilliTime> demandedFrom;
+
+  std::string zoneName(std::size_t zone) const;
+  void tick();
+  void tickCaller(std::size_t index, MilliTime now);
+  void tickFlow(CallerFlow& flow, MilliTime now);
+  void openFlow(std::size_t index, MilliTime now);
+  void sendOpening(CallerFlow& flow, MilliTime now);
+  void ask(CallerFlow& flow, MilliTime now);
+  void sendData(const CallerFlow& flow, std::string_view text, bool finishes);
+  void close(CallerFlow& flow);
+  void breakOff(CallerFlow& flow, bool mayHaveRun);
+  void endRequest(std::size_t index, const char* outcome);
+  void onReset(std::span<const std::uint8_t> bytes, const Endpoint& from);
+};
+
+}
+
+#endif
--- /dev/null
+++ b/emulator/Checks.h
@@ -0,0 +1,64 @@
+#ifndef BUCKTHORNWING_EMULATOR_CHECKS_H
+#define BUCKTHORNWING_EMULATOR_CHECKS_H
+
+#include "Callers.h"
+
+#include <map>
+#include <utility>
+
+namespace buckthornwing::emulator {
+
+/// \brief Judges what callers and targets see against the promises.
+///
+/// Bounds hold for instances that had no fault for a while and a store that
+/// was well; one target a flow and no wrong service hold always.
+class Checks
+{
+public:
+  explicit Checks(World& world);
+
+  /// \brief An opening reached a target.
+  void onOpening(const CallerPacket& packet,
+                 const CallerFlow* flow,
+                 const Target& target,
+                 const Endpoint& from);
+
+  /// \brief A later packet was sent to the target of a number.
+  void onPacket(const CallerPacket& packet,
+                const CallerFlow* flow,
+                std::uint64_t number);
+
+  /// \brief A caller got a reset from an instance.
+  void onReset(const CallerFlow& flow, const Endpoint& sender);
+
+private:
+  /// \brief What an instance has shown of the routes since its start.
+  struct Shown
+  {
+    unsigned start = 0;
+    std::size_t version = 0;
+    MilliTime at{};
+  };
+
+  World& world;
+  std::map<std::pair<std::size_t, std::size_t>, Shown> shown;
+
+  bool isInTouch(std::size_t instance);
+  void checkService(const CallerFlow& flow,
+                    MilliTime sentAt,
+                    const Target& target,
+                    std::size_t instance);
+  void checkNoWayBack(const CallerFlow& flow,
+                      MilliTime sentAt,
+                      const Target& target,
+                      std::size_t instance);
+  void checkRefusal(const CallerFlow& flow, std::size_t instance);
+  void checkOpenFlowReset(const CallerFlow& flow, std::size_t instance);
+  std::string describe(const CallerFlow& flow,
+                       std::uint64_t target,
+                       std::size_t instance) const;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/emulator/Routes.cpp
@@ -0,0 +1,81 @@
+#include "Routes.h"
+
+namespace buckthornwing::emulator {
+
+Routes::Routes(standin::StoreStandin& store, const Addresses& addresses)
+  : store(store)
+  , addresses(addresses)
+{
+  Version first{ 3, bootTime(), {} };
+  for (std::size_t i = 0; i < kRoutes; ++i) {
+    first.services.emplace_back(i % 2 == 0 ? "booking" : "billing");
+  }
+  this->publish(std::move(first));
+}
+
+void
+Routes::change(std::size_t index, std::optional<std::string> service)
+{
+  Version next = this->versions.back();
+  next.number += 1 + index;
+  next.publishedAt = bootTime();
+  next.services[index] = std::move(service);
+  this->publish(std::move(next));
+}
+
+std::set<std::string>
+Routes::servicesSince(std::size_t index, MilliTime from) const
+{
+  std::set<std::string> services;
+  for (std::size_t i = this->versions.size(); i-- > 0;) {
+    services.insert(this->versions[i].services[index].value_or(""));
+    if (this->versions[i].publishedAt <= from) {
+      break;
+    }
+  }
+  return services;
+}
+
+std::optional<std::size_t>
+Routes::newestVersion(std::size_t index, const std::string& service) const
+{
+  for (std::size_t i = this->versions.size(); i-- > 0;) {
+    if (this->versions[i].services[index] == service) {
+      return i;
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<std::size_t>
+Routes::oldestOfNewest(std::size_t index, const std::string& service) const
+{
+  const auto newest = this->newestVersion(index, service);
+  if (!newest) {
+    return std::nullopt;
+  }
+  std::size_t oldest = *newest;
+  while (oldest > 0 && this->versions[oldest - 1].services[index] == service) {
+    --oldest;
+  }
+  return oldest;
+}
+
+void
+Routes::publish(Version version)
+{
+  std::vector<standin::RouteEntry> routes;
+  for (std::size_t i = 0; i < kRoutes; ++i) {
+    if (version.services[i]) {
+      routes.push_back({ this->addresses.destination(i),
+                         isIdempotent(i),
+                         *version.services[i] });
+    }
+  }
+  this->store.put("op/config",
+                  standin::formatRouteEntries(
+                    version.number, routes, { "booking", "billing" }));
+  this->versions.push_back(std::move(version));
+}
+
+}
--- /dev/null
+++ b/emulator/SilentPort.h
@@ -0,0 +1,26 @@
+#ifndef BUCKTHORNWING_EMULATOR_SILENT_PORT_H
+#define BUCKTHORNWING_EMULATOR_SILENT_PORT_H
+
+#include <Core>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+namespace buckthornwing::emulator {
+
+/// \brief A TCP port that answers no connection, neither by taking nor by
+/// refusing it: its queue is full and nobody empties it.
+class SilentPort
+{
+public:
+  SilentPort(boost::asio::io_context& context, const Endpoint& address);
+
+private:
+  boost::asio::ip::tcp::acceptor acceptor;
+  boost::asio::ip::tcp::socket first;
+  boost::asio::ip::tcp::socket second;
+};
+
+}
+
+#endif
--- /dev/null
+++ b/emulator/StreamProxy.cpp
@@ -0,0 +1,198 @@
+#include "StreamProxy.h"
+
+#include <src/Io/Error.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+namespace buckthornwing::emulator {
+namespace internal {
+
+using boost::asio::ip::tcp;
+
+constexpr std::chrono::milliseconds kDelay{ 300 };
+
+tcp::endpoint
+toTcpEndpoint(const Endpoint& endpoint)
+{
+  return { boost::asio::ip::make_address(formatIpAddress(endpoint.address)),
+           endpoint.port };
+}
+
+/// \brief Closes a socket so that its peer sees a reset.
+void
+resetSocket(tcp::socket& socket)
+{
+  boost::system::error_code code;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), code);
+  socket.close(code);
+}
+
+}
+
+/// \brief A connection and its continuation to the server.
+struct StreamProxy::Link
+{
+  internal::tcp::socket client;
+  internal::tcp::socket server;
+  boost::asio::steady_timer requestTimer;
+  boost::asio::steady_timer answerTimer;
+  std::array<char, 16384> requestBuffer{};
+  std::array<char, 16384> answerBuffer{};
+  bool isSilent = false;
+
+  explicit Link(boost::asio::io_context& context)
+    : client(context)
+    , server(context)
+    , requestTimer(context)
+    , answerTimer(context)
+  {
+  }
+
+  void reset()
+  {
+    internal::resetSocket(this->client);
+    internal::resetSocket(this->server);
+  }
+};
+
+StreamProxy::StreamProxy(boost::asio::io_context& context,
+                         const Endpoint& server)
+  : context(context)
+  , acceptor(context)
+  , server(server)
+{
+}
+
+boost::leaf::result<void>
+StreamProxy::open(const Endpoint& address)
+{
+  const auto local = internal::toTcpEndpoint(address);
+  boost::system::error_code code;
+  this->acceptor.open(local.protocol(), code);
+  if (!code) {
+    this->acceptor.set_option(boost::asio::socket_base::reuse_address(true),
+                              code);
+    this->acceptor.bind(local, code);
+  }
+  if (!code) {
+    this->acceptor.listen(boost::asio::socket_base::max_listen_connections,
+                          code);
+  }
+  if (code) {
+    return boost::leaf::new_error(
+      Error{ "open proxy", formatEndpoint(address), code.message() });
+  }
+  this->accept();
+  return {};
+}
+
+void
+StreamProxy::setFault(StreamFault newFault)
+{
+  this->fault = newFault;
+  std::erase_if(this->links, [&](const std::weak_ptr<Link>& weak) {
+    const auto link = weak.lock();
+    if (link != nullptr && newFault == StreamFault::reset) {
+      link->reset();
+    }
+    return link == nullptr;
+  });
+}
+
+void
+StreamProxy::accept()
+{
+  const auto link = std::make_shared<Link>(this->context);
+  this->acceptor.async_accept(
+    link->client, [this, link](const boost::system::error_code& code) {
+      if (!this->acceptor.is_open()) {
+        return;
+      }
+      if (!code && this->fault == StreamFault::reset) {
+        link->reset();
+      } else if (!code) {
+        this->links.push_back(link);
+        link->server.async_connect(
+          internal::toTcpEndpoint(this->server),
+          [this, link](const boost::system::error_code& problem) {
+            if (problem) {
+              link->reset();
+              return;
+            }
+            this->pass(link, true);
+            this->pass(link, false);
+          });
+      }
+      this->accept();
+    });
+}
+
+void
+StreamProxy::pass(const std::shared_ptr<Link>& link, bool isRequest)
+{
+  auto& from = isRequest ? link->client : link->server;
+  auto& buffer = isRequest ? link->requestBuffer : link->answerBuffer;
+  from.async_read_some(
+    boost::asio::buffer(buffer),
+    [this, link, isRequest](const boost::system::error_code& code,
+                            std::size_t size) {
+      if (code && !link->isSilent) {
+        boost::system::error_code ignored;
+        auto& to = isRequest ? link->server : link->client;
+        to.shutdown(internal::tcp::socket::shutdown_send, ignored);
+      } else if (!code) {
+        this->forward(link, isRequest, size);
+      }
+    });
+}
+
+void
+StreamProxy::forward(const std::shared_ptr<Link>& link,
+                     bool isRequest,
+                     std::size_t size)
+{
+  const auto lost =
+    isRequest ? StreamFault::requestsLost : StreamFault::answersLost;
+  link->isSilent = link->isSilent || this->fault == lost;
+  if (link->isSilent) {
+    this->pass(link, isRequest);
+    return;
+  }
+  if (this->fault != StreamFault::delayed) {
+    this->write(link, isRequest, size);
+    return;
+  }
+  auto& timer = isRequest ? link->requestTimer : link->answerTimer;
+  timer.expires_after(internal::kDelay);
+  timer.async_wait(
+    [this, link, isRequest, size](const boost::system::error_code& code) {
+      if (!code) {
+        this->write(link, isRequest, size);
+      }
+    });
+}
+
+void
+StreamProxy::write(const std::shared_ptr<Link>& link,
+                   bool isRequest,
+                   std::size_t size)
+{
+  auto& to = isRequest ? link->server : link->client;
+  auto& buffer = isRequest ? link->requestBuffer : link->answerBuffer;
+  boost::asio::async_write(
+    to,
+    boost::asio::buffer(buffer.data(), size),
+    [this, link, isRequest](const boost::system::error_code& code,
+                            std::size_t) {
+      if (code) {
+        link->reset();
+      } else {
+        this->pass(link, isRequest);
+      }
+    });
+}
+
+}
--- /dev/null
+++ b/emulator/StreamProxy.h
@@ -0,0 +1,57 @@
+#ifndef BUCKTHORNWING_EMULATOR_STREAM_PROXY_H
+#define BUCKTHORNWING_EMULATOR_STREAM_PROXY_H
+
+#include <Core>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/leaf/result.hpp>
+#include <memory>
+#include <vector>
+
+namespace buckthornwing::emulator {
+
+/// \brief What a proxy does to its connections.
+enum class StreamFault : std::uint8_t
+{
+  none,
+  delayed,      ///< each piece of data waits
+  reset,        ///< connections are reset, new ones too
+  requestsLost, ///< nothing passes towards the server
+  answersLost,  ///< nothing passes back
+};
+
+/// \brief A loopback proxy for connections, with faults.
+class StreamProxy
+{
+public:
+  StreamProxy(boost::asio::io_context& context, const Endpoint& server);
+
+  boost::leaf::result<void> open(const Endpoint& address);
+
+  /// \brief Silences or resets open connections too. One that lost bytes
+  /// stays silent after the fault.
+  void setFault(StreamFault newFault);
+
+private:
+  struct Link;
+
+  boost::asio::io_context& context;
+  boost::asio::ip::tcp::acceptor acceptor;
+  Endpoint server;
+  StreamFault fault = StreamFault::none;
+  std::vector<std::weak_ptr<Link>> links;
+
+  void accept();
+  void pass(const std::shared_ptr<Link>& link, bool isRequest);
+  void forward(const std::shared_ptr<Link>& link,
+               bool isRequest,
+               std::size_t size);
+  void write(const std::shared_ptr<Link>& link,
+             bool isRequest,
+             std::size_t size);
+};
+
+}
+
+#endif
--- /dev/null
+++ b/emulator/Targets.h
@@ -0,0 +1,164 @@
+#ifndef BUCKTHORNWING_EMULATOR_TARGETS_H
+#define BUCKTHORNWING_EMULATOR_TARGETS_H
+
+#include "Addresses.h"
+#include "Datagrams.h"
+#include "Promises.h"
+#include "SilentPort.h"
+#include "Timers.h"
+
+#include <Tagging>
+#include <standin/StoreStandin.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace buckthornwing::emulator {
+
+/// \brief What a target says to a caller.
+struct TargetWord
+{
+  enum class Kind : std::uint8_t
+  {
+    accept,
+    answer,
+    finish,
+    reset,
+  };
+
+  Kind kind = Kind::accept;
+  FlowKey flow;
+  std::uint64_t target = 0; ///< the target's number
+  FlowTag tag;
+  std::uint32_t sequence = 0; ///< the next byte that the caller then expects
+  std::string requestId;
+};
+
+/// \brief One backend server.
+struct Target
+{
+  enum class State : std::uint8_t
+  {
+    serving,
+    draining,
+    dark, ///< takes nothing and answers nothing
+    gone, ///< its address answers that nothing listens
+  };
+
+  struct Held
+  {
+    FlowTag tag;
+    std::uint32_t sequence = 0;
+    std::set<std::uint32_t> taken; ///< sequences of requests
+  };
+
+  std::uint64_t number = 0;
+  std::string service;
+  std::string zone;
+  State state = State::gone;
+  bool isRegistered = false;
+  std::uint64_t incarnation = 0;
+  MilliTime startedAt{};
+  MilliTime registeredAt{};
+  std::optional<MilliTime> drainingSince; ///< as the store acknowledged it
+  Calm calm;
+  std::unique_ptr<Datagrams> packets;
+  std::unique_ptr<HttpServer> health;
+  std::unique_ptr<SilentPort> silence; ///< in place of health while dark
+  std::map<FlowKey, Held> flows;
+  unsigned busy = 0;
+  std::deque<std::function<void()>> queue;
+};
+
+/// \brief What targets tell the rest of a run.
+struct TargetHooks
+{
+  std::function<void(const TargetWord&)> onWord;
+  /// \brief An opening reached a target that accepts it.
+  std::function<void(const CallerPacket&, const Target&, const Endpoint& from)>
+    onOpening;
+  /// \brief A later packet of a flow was sent to a target, by its number.
+  std::function<void(const CallerPacket&, std::uint64_t number)> onPacket;
+};
+
+/// \brief The backend servers of a run, and their entries in the store.
+class Targets
+{
+public:
+  Targets(boost::asio::io_context& context,
+          const Addresses& addresses,
+          standin::StoreStandin& store,
+          Promises& promises,
+          TargetHooks hooks);
+
+  /// \brief Starts \a count targets, two services in two zones.
+  void start(std::size_t count);
+
+  std::size_t size() const { return this->targets.size(); }
+  const Target& at(std::size_t index) const { return *this->targets[index]; }
+
+  /// \returns the target with a number, if it is the newest at its address.
+  const Target* find(std::uint64_t number) const;
+
+  /// \returns whether a service has a target that has been well for long
+  /// enough to be known everywhere.
+  bool canServe(const std::string& service) const;
+
+  void drain(std::size_t index);
+  void crash(std::size_t index, bool isSilent);
+  void rebirth(std::size_t index);
+  void cut(std::size_t index, MilliDuration span);
+
+  /// \brief Takes all entries out of the store and puts those of living
+  /// targets back a moment after \a span.
+  void forgetEntries(MilliDuration span);
+
+  void putUnreadableEntry();
+
+private:
+  boost::asio::io_context& context;
+  Timers timers;
+  Addresses addresses;
+  standin::StoreStandin& store;
+  Promises& promises;
+  TargetHooks hooks;
+  std::vector<std::unique_ptr<Target>> targets;
+  /// Closed, with handlers that may still be under way.
+  std::vector<std::unique_ptr<Datagrams>> closedPackets;
+  std::vector<std::unique_ptr<HttpServer>> closedHealth;
+  std::uint64_t nextNumber = 0x1000;
+  int forgotten = 0;
+
+  void begin(std::size_t index, const std::string& service);
+  void open(std::size_t index);
+  void openHealth(std::size_t index);
+  void closeHealth(Target& target);
+  void fallSilent(std::size_t index);
+  void enter(Target& target, std::size_t index);
+  void leave(std::size_t index);
+  void expire(std::uint64_t number);
+  std::string keyOf(const Target& target) const;
+  void onDatagram(std::size_t index,
+                  std::span<const std::uint8_t> bytes,
+                  const Endpoint& from);
+  void onOpening(Target& target,
+                 const CallerPacket& packet,
+                 const Endpoint& from);
+  void onData(std::size_t index, const CallerPacket& packet);
+  void work(std::size_t index, const FlowKey& flow, const std::string& id);
+  void finishWork(std::size_t index,
+                  std::uint64_t incarnation,
+                  const FlowKey& flow,
+                  const std::string& id);
+  void say(const Target& target, TargetWord word);
+};
+
+}
+
+#endif
--- a/standin/StoreStandin.h
+++ b/standin/StoreStandin.h
@@ -1,7 +1,7 @@
 #ifndef BUCKTHORNWING_STORE_STANDIN_H
 #define BUCKTHORNWING_STORE_STANDIN_H
 
-#include <Io>
+#include <src/Io/HttpServer.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -153,7 +153,7 @@
   {
     TagSettings settings = OneEngine::settings(
       this->policy, "entry-" + std::to_string(index), index + 1);
-    settings.peerAddress.port = static_cast<std::uint16_t>(index + 1);
+    settings.advertisedAddress.port = static_cast<std::uint16_t>(index + 1);
     settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
     settings.seeds = { *parseEndpoint("127.0.0.1:1") };
     auto engine = std::make_unique<TagEngine>(settings);
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -138,7 +138,7 @@
     TagSettings settings;
     settings.id = id;
     settings.zone = "a";
-    settings.peerAddress = *parseEndpoint("127.0.0.1:7001");
+    settings.advertisedAddress = *parseEndpoint("127.0.0.1:7001");
     settings.tagSecret = 7;
     settings.seed = seed;
     settings.policy = policy;
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -31,14 +31,14 @@
     TagSettings settings;
     settings.id = "entry-" + std::to_string(port);
     settings.zone = zone;
-    settings.peerAddress = *parseEndpoint("127.0.0.1:1");
-    settings.peerAddress.port = port;
+    settings.advertisedAddress = *parseEndpoint("127.0.0.1:1");
+    settings.advertisedAddress.port = port;
     settings.tagSecret = 7;
     settings.seed = port;
     settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
     settings.seeds = { *parseEndpoint("127.0.0.1:1"),
                        *parseEndpoint("127.0.0.1:9999") };
-    const Endpoint address = settings.peerAddress;
+    const Endpoint address = settings.advertisedAddress;
     this->engines[address] = std::make_unique<TagEngine>(settings);
     return address;
   }
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -182,6 +182,36 @@
   cr_assert(decision.reason == SteeringReason::unknownTag);
 }
 
+/// The registry may have lost living targets just before this process started;
+/// they are back within 2 s.
+Test(steering, a_request_that_may_run_once_is_not_given_up_by_a_fresh_process)
+{
+  OneEngine world;
+  RouteTable table = twoRoutes(2);
+  table.routes[0].kind = RouteKind::nonIdempotent;
+  world.engine.onRoutes(table, world.now);
+  const auto packet = later(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
+  world.now = world.now + 10_ms;
+  world.send(packet);
+  world.run(2_s);
+  cr_assert(world.send(packet).outcome == SteeringOutcome::hold);
+  world.engine.onTargetChanges(
+    101, std::vector{ listed(50, 101) }, world.now, world.now);
+  world.run(600_ms);
+  cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
+}
+
+/// One that may be repeated is served sooner by another target.
+Test(steering, a_request_that_may_be_repeated_is_given_up_at_once)
+{
+  OneEngine world;
+  const auto packet = later(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
+  world.now = world.now + 10_ms;
+  world.send(packet);
+  world.run(100_ms);
+  cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
+}
+
 Test(steering, an_unknown_target_asks_for_a_listing_once_a_second)
 {
   OneEngine world;
