A request's story from the log; histograms; members told; requests freed

Tried on the demo's log: it showed that a booking on a crashed target was told "target gone" 1.05 s after the registry said so, at its next retransmission (7199 ms -> 8250 ms). - Cause of that wait: flows of a dead target whose requests can't be repeated were never looked at again when the target left for good. Change: they are reset as soon as a dead target has left the registry. Test a_request_that_may_have_run_is_freed_when_its_target_has_left (failed first).

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -117,6 +117,19 @@
   this->send(to, this->heartbeat(now));
 }
 
+void
+FleetController::tellMemberChanges(MilliTime now)
+{
+  for (const MemberChange& change : this->members.takeChanges(now)) {
+    this->board.events.push_back(
+      { change.isLive ? TagEventKind::memberJoined : TagEventKind::memberLost,
+        change.member.id,
+        0,
+        0,
+        formatEndpoint(change.member.address) });
+  }
+}
+
 void
 FleetController::tick(MilliTime now)
 {
@@ -135,6 +148,7 @@
       this->sendHeartbeat(peer->member.address, now);
     }
     this->sumReports(now);
+    this->tellMemberChanges(now);
   }
   if (now >= this->nextFarBeat) {
     this->nextFarBeat = now + internal::kFarBeatPeriod;
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -67,6 +67,20 @@
   });
 }
 
+std::vector<MemberChange>
+FleetMembers::takeChanges(MilliTime now)
+{
+  std::vector<MemberChange> changes;
+  for (auto& [address, known] : this->members) {
+    const bool live = this->isLive(known, now);
+    if (live != known.wasLive) {
+      known.wasLive = live;
+      changes.push_back({ known.member, live });
+    }
+  }
+  return changes;
+}
+
 bool
 FleetMembers::isLive(const KnownMember& member, MilliTime now) const
 {
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -23,9 +23,17 @@
   FleetMember member;
   MilliTime heardAt{}; ///< last sign of life, here or at any peer
   ViewVersions view;
+  bool wasLive = false; ///< when changes were last taken
   boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
 };
 
+/// \brief A member that appeared or fell silent.
+struct MemberChange
+{
+  FleetMember member;
+  bool isLive = false;
+};
+
 /// \brief The peers of an instance, found through seeds and spread by hearsay.
 class FleetMembers
 {
@@ -48,6 +56,9 @@
   /// \brief Forgets members that were silent for long.
   void forgetSilent(MilliTime now);
 
+  /// \returns what became live or lost since the last call.
+  std::vector<MemberChange> takeChanges(MilliTime now);
+
   bool isLive(const KnownMember& member, MilliTime now) const;
 
   /// \returns up to \a count random members of the own zone, or of others.
--- a/buckthornwing/src/Io/MetricsWriter.h
+++ b/buckthornwing/src/Io/MetricsWriter.h
@@ -1,6 +1,8 @@
 #ifndef BUCKTHORNWING_METRICS_WRITER_H
 #define BUCKTHORNWING_METRICS_WRITER_H
 
+#include "../Observation/LatencyHistogram.h"
+
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -34,6 +36,27 @@
     this->sample(name, value);
   }
 
+  /// \brief Writes a histogram, in seconds.
+  void histogram(const char* name,
+                 const char* help,
+                 const LatencyHistogram& histogram)
+  {
+    constexpr double kMsPerSecond = 1000;
+    this->family(name, "histogram", help);
+    const std::string base(name);
+    std::uint64_t count = 0;
+    for (std::size_t i = 0; i < LatencyHistogram::kBoundsMs.size(); ++i) {
+      count += histogram.inBucket(i);
+      std::ostringstream bound;
+      bound << "le=\"" << LatencyHistogram::kBoundsMs[i] / kMsPerSecond << '"';
+      this->sample((base + "_bucket").c_str(), count, bound.str());
+    }
+    count += histogram.inBucket(LatencyHistogram::kBoundsMs.size());
+    this->sample((base + "_bucket").c_str(), count, "le=\"+Inf\"");
+    this->sample((base + "_sum").c_str(), histogram.sumOfMs() / kMsPerSecond);
+    this->sample((base + "_count").c_str(), count);
+  }
+
   std::string str() const { return this->text.str(); }
 
 private:
--- /dev/null
+++ b/buckthornwing/src/Io/RequestStory.cpp
@@ -0,0 +1,163 @@
+#include "RequestStory.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json.hpp>
+#include <istream>
+#include <set>
+
+namespace buckthornwing {
+namespace internal {
+
+namespace json = boost::json;
+
+/// \brief Changes this long before the first and after the last line of a flow
+/// may explain it.
+constexpr std::int64_t kMarginMs = 2000;
+/// \brief Changes that concern every flow.
+constexpr std::array<std::string_view, 8> kCommonEvents{
+  "start",          "stop_requested", "routes", "store_lost",
+  "store_regained", "paused",         "reload", "lines_left_out"
+};
+
+/// \brief What is known of a flow after the first reading.
+struct FlowStory
+{
+  std::string flow;
+  std::set<std::string, std::less<>> targets;
+  std::int64_t firstMs = 0;
+  std::int64_t lastMs = 0;
+};
+
+std::string_view
+textOf(const json::object& line, std::string_view name)
+{
+  const json::value* value = line.if_contains(name);
+  return value != nullptr && value->is_string()
+           ? std::string_view(value->get_string())
+           : std::string_view();
+}
+
+std::int64_t
+timeOf(const json::object& line)
+{
+  const json::value* value = line.if_contains("time_ms");
+  return value != nullptr && value->is_int64() ? value->get_int64() : 0;
+}
+
+/// \brief Calls \a take for each line that is a JSON object. Text before the
+/// object is left out.
+template<typename Take>
+void
+forEachLine(std::istream& log, Take take)
+{
+  log.clear();
+  log.seekg(0);
+  std::string text;
+  while (std::getline(log, text)) {
+    const std::size_t start = text.find('{');
+    if (start == std::string::npos) {
+      continue;
+    }
+    json::error_code code;
+    const json::value value =
+      json::parse(std::string_view(text).substr(start), code);
+    if (!code && value.is_object()) {
+      take(value.get_object());
+    }
+  }
+}
+
+std::string
+findFlow(std::istream& log, std::string_view requestId)
+{
+  std::string flow;
+  forEachLine(log, [&](const json::object& line) {
+    if (flow.empty() && textOf(line, "request") == requestId) {
+      flow = textOf(line, "flow");
+    }
+  });
+  return flow;
+}
+
+FlowStory
+gather(std::istream& log, std::string flow)
+{
+  FlowStory story;
+  story.flow = std::move(flow);
+  forEachLine(log, [&](const json::object& line) {
+    if (textOf(line, "flow") != story.flow) {
+      return;
+    }
+    const std::int64_t time = timeOf(line);
+    story.firstMs = story.firstMs == 0 ? time : std::min(story.firstMs, time);
+    story.lastMs = std::max(story.lastMs, time);
+    if (!textOf(line, "target").empty()) {
+      story.targets.emplace(textOf(line, "target"));
+    }
+  });
+  return story;
+}
+
+bool
+belongsTo(const FlowStory& story, const json::object& line)
+{
+  if (textOf(line, "flow") == story.flow) {
+    return true;
+  }
+  const std::int64_t time = timeOf(line);
+  if (time < story.firstMs - kMarginMs || time > story.lastMs + kMarginMs) {
+    return false;
+  }
+  const std::string_view event = textOf(line, "event");
+  return story.targets.contains(textOf(line, "subject")) ||
+         std::find(kCommonEvents.begin(), kCommonEvents.end(), event) !=
+           kCommonEvents.end();
+}
+
+StoryLine
+describe(const json::object& line)
+{
+  StoryLine told{ timeOf(line),
+                  std::string(textOf(line, "instance")),
+                  std::string(textOf(line, "event")),
+                  {} };
+  for (const auto& field : line) {
+    const std::string_view name = field.key();
+    if (name == "time_ms" || name == "instance" || name == "event") {
+      continue;
+    }
+    told.detail += told.detail.empty() ? "" : " ";
+    told.detail += std::string(name) + "=";
+    told.detail += field.value().is_string()
+                     ? std::string(field.value().get_string())
+                     : json::serialize(field.value());
+  }
+  return told;
+}
+
+}
+
+std::vector<StoryLine>
+tellRequest(std::istream& log, std::string_view requestId)
+{
+  std::vector<StoryLine> lines;
+  const std::string flow = internal::findFlow(log, requestId);
+  if (flow.empty()) {
+    return lines;
+  }
+  const internal::FlowStory story = internal::gather(log, flow);
+  internal::forEachLine(log, [&](const internal::json::object& line) {
+    if (internal::belongsTo(story, line)) {
+      lines.push_back(internal::describe(line));
+    }
+  });
+  std::stable_sort(lines.begin(),
+                   lines.end(),
+                   [](const StoryLine& left, const StoryLine& right) {
+                     return left.timeMs < right.timeMs;
+                   });
+  return lines;
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Io/RequestStory.h
@@ -0,0 +1,31 @@
+#ifndef BUCKTHORNWING_REQUEST_STORY_H
+#define BUCKTHORNWING_REQUEST_STORY_H
+
+#include <cstdint>
+#include <iosfwd>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief A log line that tells about a request.
+struct StoryLine
+{
+  std::int64_t timeMs = 0; ///< wall clock
+  std::string instance;
+  std::string event;
+  std::string detail; ///< the other fields as name=value
+};
+
+/// \brief Finds what a log tells about one request: each decision on its flow,
+/// and each change of belief about the flow's targets and the views while the
+/// flow lived. Lines of several instances may be mixed.
+/// \param log read twice, from its start
+/// \returns the lines by time; none if no line names the request
+std::vector<StoryLine>
+tellRequest(std::istream& log, std::string_view requestId);
+
+}
+
+#endif
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -80,6 +80,15 @@
   internal::MetricsWriter writer;
   internal::writeDecisions(board.counters, writer);
   internal::writeHost(host, writer);
+  writer.histogram("service_seconds",
+                   "From a request to the first sign of its answer",
+                   board.observer.serviceTimes());
+  writer.histogram("placement_view_age_seconds",
+                   "Age of the targets' view when a flow was placed",
+                   board.counters.targetsAges);
+  writer.histogram("store_listing_seconds",
+                   "From a call to the store to its whole list",
+                   host.storeListings);
   writer.single(
     "probes_total", "counter", "Probes of targets", board.counters.probes);
   writer.single("repeats_total",
--- a/buckthornwing/src/Io/TagReport.h
+++ b/buckthornwing/src/Io/TagReport.h
@@ -20,6 +20,7 @@
   std::uint64_t peerBytesReceived = 0;
   std::uint64_t storeCalls = 0;
   std::uint64_t storeFailures = 0;
+  LatencyHistogram storeListings; ///< from the call to the whole list
   std::uint64_t logLinesLost = 0;
 };
 
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -61,6 +61,9 @@
   {
     source.failures()
     } -> std::convertible_to<std::uint64_t>;
+  {
+    source.listingTimes()
+    } -> std::convertible_to<LatencyHistogram>;
 };
 
 /// \brief Drives one TagEngine over sockets; the whole of a daemon before a
@@ -273,7 +276,8 @@
       packet.acknowledged = rescued.acknowledged;
       SteeringDecision decision;
       decision.outcome = SteeringOutcome::reset;
-      decision.reason = SteeringReason::targetSilent;
+      decision.reason = rescued.targetLeft ? SteeringReason::targetGone
+                                           : SteeringReason::targetSilent;
       decision.target = rescued.target;
       this->carryOut(decision, packet, {}, now);
       this->log.decision(this->engine.board(), packet, decision, {}, now);
@@ -347,6 +351,7 @@
     constexpr unsigned kNotFound = 404;
     this->counters.storeCalls = this->source.calls();
     this->counters.storeFailures = this->source.failures();
+    this->counters.storeListings = this->source.listingTimes();
     this->counters.logLinesLost = this->log.suppressed() + this->jsonLog.lost();
     const TagBoard& board = this->engine.board();
     if (target == Source::kReadyPath || target == "/healthz") {
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -104,6 +104,7 @@
   TargetLoad& load = this->loadFor(flow.target);
   const double took = static_cast<double>((now - flow.busySince).ms);
   load.serviceMs += (took - load.serviceMs) * internal::kNewestShare;
+  this->answered.add(now - flow.busySince);
   this->endBusy(flow);
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_FLOW_OBSERVER_H
 
 #include "../Tagging/CallerPacket.h"
+#include "LatencyHistogram.h"
 #include "TargetLoad.h"
 #include "TrackedFlow.h"
 
@@ -51,10 +52,13 @@
   TargetLoad& loadFor(TargetSlot target);
   std::size_t flowCount() const { return this->flows.size(); }
   const TrackedFlows& all() const { return this->flows; }
+  /// \returns the times from a request to the first sign of its answer.
+  const LatencyHistogram& serviceTimes() const { return this->answered; }
 
 private:
   TrackedFlows flows;
   std::vector<TargetLoad> loads;
+  LatencyHistogram answered;
 
   Observation observe(TrackedFlow& flow,
                       const CallerPacket& packet,
--- a/buckthornwing/src/Observation/TargetHealth.h
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -30,6 +30,7 @@
   HealthState state = HealthState::trusted;
   std::uint8_t failedProbes = 0; ///< in a row
   bool probing = false;
+  bool hasLeft = false; ///< dead, and the registry said that it left
   MilliTime changedAt{};
   MilliTime nextProbeAt{};
   MilliTime avoidUntil{}; ///< a peer found it dead
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -88,6 +88,7 @@
 {
   TargetHealth& health = this->board.healthFor(target);
   health.state = HealthState::trusted;
+  health.hasLeft = false;
   health.failedProbes = 0;
   health.changedAt = now;
   this->report(TagEventKind::targetTrusted, target, now, "it answers");
@@ -215,7 +216,12 @@
 HealthController::tick(MilliTime now)
 {
   for (TargetSlot slot = 0; slot < this->board.health.size(); ++slot) {
-    const TargetHealth& health = this->board.health[slot];
+    TargetHealth& health = this->board.health[slot];
+    if (health.state == HealthState::dead && !health.hasLeft &&
+        this->board.registry.at(slot).presence == TargetPresence::gone) {
+      health.hasLeft = true;
+      this->newlyDead.push_back(slot);
+    }
     const bool isDue = health.state != HealthState::trusted &&
                        !health.probing && now >= health.nextProbeAt;
     if (isDue && this->board.registry.at(slot).used &&
--- a/buckthornwing/src/Steering/RescueController.cpp
+++ b/buckthornwing/src/Steering/RescueController.cpp
@@ -13,9 +13,12 @@
 {
   std::vector<RescuedFlow> rescued;
   std::vector<FlowId> ids;
+  const bool hasLeft =
+    this->board.registry.at(target).presence == TargetPresence::gone;
   for (const auto& [id, flow] : this->board.observer.all()) {
-    if (flow.target == target && !flow.closed && gainsByReset(flow)) {
-      rescued.push_back({ flow.key, flow.acknowledged, target });
+    const bool gains = gainsByReset(flow) || (hasLeft && flow.established);
+    if (flow.target == target && !flow.closed && gains) {
+      rescued.push_back({ flow.key, flow.acknowledged, target, hasLeft });
       ids.push_back(id);
     }
   }
--- a/buckthornwing/src/Steering/RescueController.h
+++ b/buckthornwing/src/Steering/RescueController.h
@@ -13,6 +13,7 @@
   FlowKey flow;
   std::uint32_t acknowledged = 0;
   TargetSlot target = kNoTargetSlot;
+  bool targetLeft = false; ///< as the registry says
 };
 
 /// \brief Frees flows from targets that are dead, so that callers open new
@@ -27,8 +28,9 @@
 
   /// \brief Takes out the flows of a dead target that a reset helps.
   ///
-  /// A request that can't be repeated keeps waiting: its answer may be on the
-  /// way. An opening needs no reset: its next copy finds another target.
+  /// A request that can't be repeated keeps waiting, because its answer may be
+  /// on the way, until the registry says that the target left. An opening needs
+  /// no reset: its next copy finds another target.
   std::vector<RescuedFlow> rescueFrom(TargetSlot target);
 
 private:
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -133,6 +133,7 @@
     decision.reason = SteeringReason::paced;
     return decision;
   }
+  this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
   return decision;
@@ -160,12 +161,11 @@
     this->board.tags.find(this->board.registry, packet.tag, packet.flow);
   if (decision.target == kNoTargetSlot) {
     decision.reason = SteeringReason::unknownTag;
-    const bool isRepeatable =
-      decision.route->kind != RouteKind::nonIdempotent;
-    decision.outcome = this->unknownTargets.isGoneForGood(
-                         this->board, id, isRepeatable, now)
-                         ? SteeringOutcome::reset
-                         : SteeringOutcome::hold;
+    const bool isRepeatable = decision.route->kind != RouteKind::nonIdempotent;
+    decision.outcome =
+      this->unknownTargets.isGoneForGood(this->board, id, isRepeatable, now)
+        ? SteeringOutcome::reset
+        : SteeringOutcome::hold;
     return decision;
   }
   if (this->board.registry.at(decision.target).presence ==
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -26,6 +26,7 @@
   std::uint64_t probes = 0;
   std::uint64_t unreadableEntries = 0; ///< of the registry
   std::uint64_t malformedUpdates = 0;  ///< from peers
+  LatencyHistogram targetsAges;        ///< of the view that placed a flow
 };
 
 /// \brief State of one instance before a tagging fabric; controllers read and
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -35,7 +35,7 @@
 struct TagEvent
 {
   TagEventKind kind = TagEventKind::targetListed;
-  std::string subject; ///< a target's id, a member's address
+  std::string subject; ///< the id of a target or member
   std::uint64_t revision = 0;
   std::int64_t milliseconds = 0; ///< an age or a span, by kind
   std::string note;
--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -32,6 +32,8 @@
     "", "service", "a service's name", false, "", "NAME", line);
   TCLAP::ValueArg<std::string> flow(
     "", "flow", "\"protocol source destination\"", false, "", "FLOW", line);
+  TCLAP::ValueArg<std::string> log(
+    "", "log", "lines of one or more instances", false, "", "FILE", line);
   TCLAP::ValueArg<unsigned> count(
     "", "count", "of watch: times to show", false, 0, "N", line);
   TCLAP::SwitchArg json("", "json", "print JSON", line, false);
@@ -49,8 +51,8 @@
   }
   Arguments arguments{ command.getValue(), positional.getValue(),
                        config.getValue(),  service.getValue(),
-                       flow.getValue(),    count.getValue(),
-                       json.getValue() };
+                       flow.getValue(),    log.getValue(),
+                       count.getValue(),   json.getValue() };
   const std::size_t expected = positionalCount(arguments.command);
   if (arguments.positional.size() != expected) {
     return boost::leaf::new_error(Error{ "read command line",
--- a/bwctl/Commands.h
+++ b/bwctl/Commands.h
@@ -20,6 +20,7 @@
   std::string config;
   std::string service;
   std::string flow;
+  std::string log;
   unsigned count = 0; ///< of watch; 0 means without end
   bool json = false;
 };
@@ -45,6 +46,9 @@
 
 boost::leaf::result<int>
 status(const Arguments& arguments);
+
+boost::leaf::result<int>
+trace(const Arguments& arguments);
 /// @}
 
 }
--- a/bwctl/StatusCommand.cpp
+++ b/bwctl/StatusCommand.cpp
@@ -91,6 +91,14 @@
                 "revision",
                 "revision_age_ms",
                 "platform_heard_ms_ago",
+                "stopping",
+                "routes_version",
+                "routes_age_ms",
+                "targets_revision",
+                "targets_age_ms",
+                "tracked_flows",
+                "outcomes",
+                "store_calls",
                 "slots",
                 "flow_entries",
                 "packets",
@@ -103,6 +111,7 @@
   printRows(status, "configuration_problems");
   printRows(status, "peers");
   printRows(status, "services");
+  printRows(status, "targets");
 }
 
 }
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -27,6 +27,9 @@
       shows a running instance, by its operators' address
   bwctl watch ADDRESS:PORT [--count N]
       shows it again every second
+  bwctl trace --log FILE REQUEST-ID
+      tells a request's story from the log of one or more instances: each
+      decision on its flow, and what was believed of its targets meanwhile
 
 Each command takes --json for output that programs read.
 Exit status: 0 good, 1 the answer is no, 2 wrong usage or input.
@@ -57,6 +60,9 @@
   if (name == "status" || name == "watch") {
     return status(arguments);
   }
+  if (name == "trace") {
+    return trace(arguments);
+  }
   return boost::leaf::new_error(
     Error{ "read command line", name, "unknown command; see bwctl --help" });
 }
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -239,6 +239,25 @@
   cr_assert_eq(world.at(first).members().liveCount(world.now), 1);
 }
 
+Test(fleet, members_that_come_and_go_are_told_once)
+{
+  FleetWorld world;
+  const Endpoint first = world.add("a", 1);
+  const Endpoint second = world.add("b", 2);
+  const auto countOf = [&](TagEventKind kind) {
+    int count = 0;
+    for (const TagEvent& event : world.at(first).takeEvents()) {
+      count += event.kind == kind && event.subject == "entry-2" ? 1 : 0;
+    }
+    return count;
+  };
+  world.run(2_s);
+  cr_assert_eq(countOf(TagEventKind::memberJoined), 1);
+  world.cutOff[second] = true;
+  world.run(FleetMembers::kLostAfter + 1_s);
+  cr_assert_eq(countOf(TagEventKind::memberLost), 1);
+}
+
 Test(fleet, loads_of_peers_are_summed_and_fade)
 {
   FleetWorld world;
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -432,6 +432,27 @@
   cr_assert(decision.reason == SteeringReason::targetGone);
 }
 
+/// Once its target has left for good, nothing will ever answer the request.
+Test(health, a_request_that_may_have_run_is_freed_when_its_target_has_left)
+{
+  OneEngine world;
+  const FlowKey flow = flowOf(1, "203.0.113.1:8443");
+  const auto placed = world.open(flow);
+  world.send(later(flow, placed.tag, 1000, 1, 100));
+  world.run(300_ms);
+  world.send(later(flow, placed.tag, 1000, 1, 100));
+  cr_assert_eq(world.engine.takeProbes().size(), 1);
+  world.engine.onProbeResult(placed.target, ProbeResult::refused, world.now);
+  cr_assert(world.engine.takeRescued().empty());
+  world.run(3_s);
+  const TargetChange left = gone(100, 101);
+  world.engine.onTargetChanges(101, std::span(&left, 1), world.now, world.now);
+  world.run(20_ms);
+  cr_assert_eq(world.engine.takeRescued().size(), 1);
+  world.run(100_ms);
+  cr_assert(world.engine.takeRescued().empty());
+}
+
 Test(health, a_copy_of_an_opening_leaves_a_dead_target)
 {
   OneEngine world(2);
