--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -2,8 +2,7 @@
 /// \brief Measures decisions before a fabric that returns flow tags, beside
 /// the naive choice; the owners' way is measured in bench.cpp.
 
-#include <Fleet>
-#include <Steering>
+#include "Tagged.h"
 
 #include <benchmark/benchmark.h>
 
@@ -12,66 +11,11 @@
 #include <vector>
 
 using namespace buckthornwing;
+using namespace buckthornwing::bench;
 using namespace buckthornwing::literals;
 
 namespace {
 
-constexpr std::size_t kTargetsAService = 40;
-
-FlowKey
-flowOf(std::uint32_t client, std::uint16_t port)
-{
-  FlowKey flow;
-  flow.source = *parseEndpoint("198.51.100.1:1024");
-  flow.source.address.bytes[13] = static_cast<std::uint8_t>(client >> 16);
-  flow.source.address.bytes[14] = static_cast<std::uint8_t>(client >> 8);
-  flow.source.address.bytes[15] = static_cast<std::uint8_t>(client);
-  flow.destination = *parseEndpoint("203.0.113.1:443");
-  flow.destination.port = port;
-  return flow;
-}
-
-TargetChange
-listed(std::uint64_t number, std::size_t service)
-{
-  TargetChange change;
-  change.id = "t-" + std::to_string(number);
-  change.revision = number;
-  change.kind = ChangeKind::listed;
-  change.record.id = change.id;
-  change.record.number = number;
-  change.record.address = *parseEndpoint("10.0.0.1:9000");
-  change.record.zone = "zone-" + std::to_string(number % 9);
-  change.record.labels = { { "service", "s" + std::to_string(service) },
-                           { "zone", change.record.zone } };
-  change.record.slots = 2;
-  return change;
-}
-
-RouteTable
-routesOf(std::size_t services, std::size_t routes)
-{
-  RouteTable table;
-  table.version = 1;
-  table.revision = 1;
-  for (std::size_t i = 0; i < services; ++i) {
-    SelectedService service;
-    service.name = "s" + std::to_string(i);
-    service.selector.requirements.push_back(
-      { "service", SelectorOperator::in, { service.name } });
-    table.services.push_back(std::move(service));
-  }
-  for (std::size_t i = 0; i < routes; ++i) {
-    Route route;
-    route.name = "r" + std::to_string(i);
-    route.destination =
-      flowOf(0, static_cast<std::uint16_t>(443 + i)).destination;
-    route.services = { { static_cast<ServiceSlot>(i % services), 1 } };
-    table.routes.push_back(std::move(route));
-  }
-  return table;
-}
-
 /// \brief One engine with a view of any size, and open flows.
 struct Tagged
 {
@@ -80,29 +24,13 @@
   std::vector<CallerPacket> later;
 
   explicit Tagged(std::size_t targets)
-    : engine(settings())
+    : engine(settingsOf(0))
   {
-    const std::size_t services = targets / kTargetsAService + 1;
-    std::vector<TargetChange> changes;
-    for (std::size_t i = 0; i < targets; ++i) {
-      changes.push_back(listed(i + 1, i % services));
-    }
-    this->engine.onRoutes(routesOf(services, services), this->now);
+    const auto changes = listTargets(targets);
+    this->engine.onRoutes(listRoutes(targets), this->now);
     this->engine.onTargetListing(changes.size(), changes, this->now, this->now);
   }
 
-  static TagSettings settings()
-  {
-    TagSettings settings;
-    settings.id = "entry-1";
-    settings.zone = "zone-0";
-    settings.advertisedAddress = *parseEndpoint("127.0.0.1:7001");
-    settings.tagSecret = 7;
-    settings.seed = 1;
-    settings.policy.paced = false;
-    return settings;
-  }
-
   SteeringDecision open(std::uint32_t client)
   {
     CallerPacket packet;
