--- a/bwctl/Commands.h
+++ b/bwctl/Commands.h
@@ -1,6 +1,8 @@
 #ifndef BUCKTHORNWING_BWCTL_COMMANDS_H
 #define BUCKTHORNWING_BWCTL_COMMANDS_H
 
+#include <src/Io/RunMain.h>
+
 #include <boost/leaf/result.hpp>
 #include <string>
 #include <vector>
@@ -10,7 +12,7 @@
 /// \brief Exit statuses of every command.
 inline constexpr int kGood = 0;
 inline constexpr int kAnswerIsNo = 1;
-inline constexpr int kUsageError = 2;
+inline constexpr int kUsageError = kUsageExit;
 
 /// \brief A command line, parsed.
 struct Arguments
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -82,17 +82,8 @@
     (help ? std::cout : std::cerr) << kUsage;
     return help ? kGood : kUsageError;
   }
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> {
-      BOOST_LEAF_AUTO(arguments, parseArguments(argc, argv));
-      return dispatch(arguments);
-    },
-    [](const Error& error) {
-      std::cerr << "bwctl: " << formatError(error) << '\n';
-      return kUsageError;
-    },
-    [] {
-      std::cerr << "bwctl: failed for an unknown reason\n";
-      return kUsageError;
-    });
+  return runMain("bwctl", [&]() -> boost::leaf::result<int> {
+    BOOST_LEAF_AUTO(arguments, parseArguments(argc, argv));
+    return dispatch(arguments);
+  });
 }
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -12,8 +12,6 @@
 namespace buckthornwing {
 namespace internal {
 
-constexpr int kUsageExit = 2;
-
 /// \brief Values of the command line that override the settings file.
 struct Flags
 {
@@ -95,14 +93,5 @@
 {
   using namespace buckthornwing;
   const internal::Flags flags = internal::parseFlags(argc, argv);
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> { return internal::run(flags); },
-    [](const Error& error) {
-      std::cerr << "buckthornwing: " << formatError(error) << '\n';
-      return internal::kUsageExit;
-    },
-    [] {
-      std::cerr << "buckthornwing: start failed for an unknown reason\n";
-      return internal::kUsageExit;
-    });
+  return runMain("buckthornwing", [&] { return internal::run(flags); });
 }
--- a/demo/main.cpp
+++ b/demo/main.cpp
@@ -4,9 +4,8 @@
 /// and are killed.
 
 #include <emulator/Emulation.h>
-#include <src/Io/Error.h>
+#include <src/Io/RunMain.h>
 
-#include <boost/leaf.hpp>
 #include <filesystem>
 #include <functional>
 #include <iostream>
@@ -71,7 +70,6 @@
 main(int argc, char** argv)
 {
   using namespace buckthornwing;
-  constexpr int kUsageExit = 2;
   TCLAP::CmdLine command(
     "Tour of the daemon before a tagging fabric", ' ', "0.1");
   TCLAP::ValueArg<std::string> directory(
@@ -81,14 +79,5 @@
   settings.program = "build/buckthornwing-platform";
   settings.directory = directory.getValue();
   std::filesystem::create_directories(settings.directory);
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> { return demo::internal::run(settings); },
-    [](const Error& error) {
-      std::cerr << "demo: " << formatError(error) << '\n';
-      return kUsageExit;
-    },
-    [] {
-      std::cerr << "demo: unknown failure\n";
-      return kUsageExit;
-    });
+  return runMain("demo", [&] { return demo::internal::run(settings); });
 }
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -6,9 +6,8 @@
 #include "Faults.h"
 
 #include <emulator/Emulation.h>
-#include <src/Io/Error.h>
+#include <src/Io/RunMain.h>
 
-#include <boost/leaf.hpp>
 #include <csignal>
 #include <filesystem>
 #include <iostream>
@@ -114,18 +113,8 @@
 main(int argc, char** argv)
 {
   using namespace buckthornwing;
-  constexpr int kUsageExit = 2;
   std::signal(SIGPIPE, SIG_IGN);
   const auto flags = soak::internal::parseFlags(argc, argv);
   std::filesystem::create_directories(flags.emulation.directory);
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> { return soak::internal::run(flags); },
-    [](const Error& error) {
-      std::cerr << "soak: " << formatError(error) << '\n';
-      return kUsageExit;
-    },
-    [] {
-      std::cerr << "soak: unknown failure\n";
-      return kUsageExit;
-    });
+  return runMain("soak", [&] { return soak::internal::run(flags); });
 }
--- a/standin/backend.cpp
+++ b/standin/backend.cpp
@@ -123,20 +123,14 @@
   const auto replyAddress = parseEndpoint(replyTo.getValue());
   if (!tunnelAddress || !statusAddress || !replyAddress) {
     std::cerr << "standin-backend: expected address:port for each endpoint\n";
-    return 2;
+    return kUsageExit;
   }
   boost::asio::io_context context;
   internal::Backend backend(
     context, id.getValue(), *replyAddress, shedAbove.getValue());
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> {
-      BOOST_LEAF_CHECK(backend.start(*tunnelAddress, *statusAddress));
-      context.run();
-      return 0;
-    },
-    [](const Error& error) {
-      std::cerr << "standin-backend: " << formatError(error) << '\n';
-      return 2;
-    },
-    [] { return 2; });
+  return runMain("standin-backend", [&]() -> boost::leaf::result<int> {
+    BOOST_LEAF_CHECK(backend.start(*tunnelAddress, *statusAddress));
+    context.run();
+    return 0;
+  });
 }
--- a/standin/fabric.cpp
+++ b/standin/fabric.cpp
@@ -465,7 +465,7 @@
   const auto address = parseEndpoint(listen.getValue());
   if (!address) {
     std::cerr << "standin-fabric: --listen: expected address:port\n";
-    return 2;
+    return kUsageExit;
   }
   boost::asio::io_context context;
   internal::Fabric fabric(context,
@@ -476,15 +476,9 @@
                             seconds.getValue(),
                             interval.getValue(),
                             seed.getValue() });
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> {
-      BOOST_LEAF_CHECK(fabric.start());
-      context.run();
-      return fabric.report();
-    },
-    [](const Error& error) {
-      std::cerr << "standin-fabric: " << formatError(error) << '\n';
-      return 2;
-    },
-    [] { return 2; });
+  return runMain("standin-fabric", [&]() -> boost::leaf::result<int> {
+    BOOST_LEAF_CHECK(fabric.start());
+    context.run();
+    return fabric.report();
+  });
 }
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -177,19 +177,13 @@
   const auto address = parseEndpoint(listen.getValue());
   if (!address) {
     std::cerr << "standin-platform: --listen: expected address:port\n";
-    return 2;
+    return kUsageExit;
   }
   boost::asio::io_context context;
   internal::Platform platform(context, file.getValue(), limit.getValue());
-  return boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<int> {
-      BOOST_LEAF_CHECK(platform.start(*address));
-      context.run();
-      return 0;
-    },
-    [](const Error& error) {
-      std::cerr << "standin-platform: " << formatError(error) << '\n';
-      return 2;
-    },
-    [] { return 2; });
+  return runMain("standin-platform", [&]() -> boost::leaf::result<int> {
+    BOOST_LEAF_CHECK(platform.start(*address));
+    context.run();
+    return 0;
+  });
 }
