--- a/buckthornwing/src/Io/RequestStory.cpp
+++ b/buckthornwing/src/Io/RequestStory.cpp
@@ -11,18 +11,20 @@
 
 namespace json = boost::json;
 
-/// \brief Changes this long before the first and after the last line of a flow
-/// may explain it.
-constexpr std::int64_t kMarginMs = 2000;
+/// \brief What happened this long before a request's first line may explain it.
+constexpr std::int64_t kBeforeMs = 2000;
+/// \brief A reset may come this long after a request's last line.
+constexpr std::int64_t kAfterMs = 6000;
 /// \brief Changes that concern every flow.
 constexpr std::array<std::string_view, 8> kCommonEvents{
   "start",          "stop_requested", "routes", "store_lost",
   "store_regained", "paused",         "reload", "lines_left_out"
 };
 
-/// \brief What is known of a flow after the first reading.
-struct FlowStory
+/// \brief What the first reading finds of a request.
+struct Subject
 {
+  std::string id;
   std::string flow;
   std::set<std::string, std::less<>> targets;
   std::int64_t firstMs = 0;
@@ -68,49 +70,39 @@
   }
 }
 
-std::string
-findFlow(std::istream& log, std::string_view requestId)
+Subject
+findSubject(std::istream& log, std::string_view requestId)
 {
-  std::string flow;
+  Subject subject{ std::string(requestId), {}, {}, 0, 0 };
   forEachLine(log, [&](const json::object& line) {
-    if (flow.empty() && textOf(line, "request") == requestId) {
-      flow = textOf(line, "flow");
-    }
-  });
-  return flow;
-}
-
-FlowStory
-gather(std::istream& log, std::string flow)
-{
-  FlowStory story;
-  story.flow = std::move(flow);
-  forEachLine(log, [&](const json::object& line) {
-    if (textOf(line, "flow") != story.flow) {
+    if (textOf(line, "request") != subject.id) {
       return;
     }
     const std::int64_t time = timeOf(line);
-    story.firstMs = story.firstMs == 0 ? time : std::min(story.firstMs, time);
-    story.lastMs = std::max(story.lastMs, time);
+    const bool isFirst = subject.flow.empty();
+    subject.flow = textOf(line, "flow");
+    subject.firstMs = isFirst ? time : std::min(subject.firstMs, time);
+    subject.lastMs = std::max(subject.lastMs, time);
     if (!textOf(line, "target").empty()) {
-      story.targets.emplace(textOf(line, "target"));
+      subject.targets.emplace(textOf(line, "target"));
     }
   });
-  return story;
+  return subject;
 }
 
 bool
-belongsTo(const FlowStory& story, const json::object& line)
+belongsTo(const Subject& subject, const json::object& line)
 {
-  if (textOf(line, "flow") == story.flow) {
-    return true;
-  }
   const std::int64_t time = timeOf(line);
-  if (time < story.firstMs - kMarginMs || time > story.lastMs + kMarginMs) {
+  if (time < subject.firstMs - kBeforeMs || time > subject.lastMs + kAfterMs) {
     return false;
   }
+  if (textOf(line, "flow") == subject.flow) {
+    const std::string_view request = textOf(line, "request");
+    return request.empty() || request == subject.id;
+  }
   const std::string_view event = textOf(line, "event");
-  return story.targets.contains(textOf(line, "subject")) ||
+  return subject.targets.contains(textOf(line, "subject")) ||
          std::find(kCommonEvents.begin(), kCommonEvents.end(), event) !=
            kCommonEvents.end();
 }
@@ -142,13 +134,12 @@
 tellRequest(std::istream& log, std::string_view requestId)
 {
   std::vector<StoryLine> lines;
-  const std::string flow = internal::findFlow(log, requestId);
-  if (flow.empty()) {
+  const internal::Subject subject = internal::findSubject(log, requestId);
+  if (subject.flow.empty()) {
     return lines;
   }
-  const internal::FlowStory story = internal::gather(log, flow);
   internal::forEachLine(log, [&](const internal::json::object& line) {
-    if (internal::belongsTo(story, line)) {
+    if (internal::belongsTo(subject, line)) {
       lines.push_back(internal::describe(line));
     }
   });
--- a/buckthornwing/src/Io/RequestStory.h
+++ b/buckthornwing/src/Io/RequestStory.h
@@ -18,9 +18,10 @@
   std::string detail; ///< the other fields as name=value
 };
 
-/// \brief Finds what a log tells about one request: each decision on its flow,
-/// and each change of belief about the flow's targets and the views while the
-/// flow lived. Lines of several instances may be mixed.
+/// \brief Finds what a log tells about one request: each decision on it and on
+/// packets of its flow that start no other request, and each change of belief
+/// about its targets and the views, from 2 s before to 6 s after. Lines of
+/// several instances may be mixed.
 /// \param log read twice, from its start
 /// \returns the lines by time; none if no line names the request
 std::vector<StoryLine>
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -32,13 +32,25 @@
   line["target_busy"] = load.busy;
 }
 
+void
+addAge(const char* name,
+       MilliTime confirmedAt,
+       MilliTime now,
+       boost::json::object& line)
+{
+  const auto age = viewAge(confirmedAt, now);
+  if (age) {
+    line[name] = age->ms;
+  }
+}
+
 void
 addView(const TagBoard& board, MilliTime now, boost::json::object& line)
 {
   line["targets_revision"] = board.registry.revision();
-  line["targets_age_ms"] = (now - board.targetsConfirmedAt).ms;
+  addAge("targets_age_ms", board.targetsConfirmedAt, now, line);
   line["routes_version"] = board.routes.version();
-  line["routes_age_ms"] = (now - board.routesConfirmedAt).ms;
+  addAge("routes_age_ms", board.routesConfirmedAt, now, line);
 }
 
 }
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -70,6 +70,27 @@
     "log_lines_lost_total", "counter", "Log lines left out", host.logLinesLost);
 }
 
+/// A view that was never confirmed has no sample.
+void
+writeAge(const char* name,
+         const char* help,
+         MilliTime confirmedAt,
+         MilliTime now,
+         MetricsWriter& writer)
+{
+  const auto age = viewAge(confirmedAt, now);
+  if (age) {
+    writer.single(name, "gauge", help, age->ms);
+  }
+}
+
+boost::json::value
+ageOrNull(MilliTime confirmedAt, MilliTime now)
+{
+  const auto age = viewAge(confirmedAt, now);
+  return age ? boost::json::value(age->ms) : boost::json::value(nullptr);
+}
+
 }
 
 std::string
@@ -107,14 +128,16 @@
                 "gauge",
                 "Flows whose packets pass here",
                 board.observer.flowCount());
-  writer.single("targets_age_milliseconds",
-                "gauge",
-                "Time since the targets were confirmed",
-                (now - board.targetsConfirmedAt).ms);
-  writer.single("routes_age_milliseconds",
-                "gauge",
-                "Time since the routes were confirmed",
-                (now - board.routesConfirmedAt).ms);
+  internal::writeAge("targets_age_milliseconds",
+                     "Time since the targets were confirmed",
+                     board.targetsConfirmedAt,
+                     now,
+                     writer);
+  internal::writeAge("routes_age_milliseconds",
+                     "Time since the routes were confirmed",
+                     board.routesConfirmedAt,
+                     now,
+                     writer);
   writer.single("routes_version",
                 "gauge",
                 "Version of the routes in force",
@@ -132,9 +155,9 @@
   status["zone"] = board.settings.zone;
   status["stopping"] = board.stopping;
   status["routes_version"] = board.routes.version();
-  status["routes_age_ms"] = (now - board.routesConfirmedAt).ms;
+  status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
   status["targets_revision"] = board.registry.revision();
-  status["targets_age_ms"] = (now - board.targetsConfirmedAt).ms;
+  status["targets_age_ms"] = internal::ageOrNull(board.targetsConfirmedAt, now);
   status["tracked_flows"] = board.observer.flowCount();
   boost::json::object outcomes;
   for (std::size_t i = 0; i < board.counters.outcomes.size(); ++i) {
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -13,6 +13,7 @@
 
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace buckthornwing {
@@ -29,6 +30,13 @@
   LatencyHistogram targetsAges;        ///< of the view that placed a flow
 };
 
+/// \returns the age of a view, or nothing if it was never confirmed.
+inline std::optional<MilliDuration>
+viewAge(MilliTime confirmedAt, MilliTime now)
+{
+  return confirmedAt.ms == 0 ? std::nullopt : std::optional(now - confirmedAt);
+}
+
 /// \brief State of one instance before a tagging fabric; controllers read and
 /// write it.
 struct TagBoard
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -69,7 +69,7 @@
     { TagEventKind::routes,
       {},
       applied.version,
-      (now - this->board.routesConfirmedAt).ms,
+      viewAge(this->board.routesConfirmedAt, now).value_or(MilliDuration{}).ms,
       std::to_string(applied.routes.size()) + " routes, " +
         std::to_string(applied.skipped) + " skipped" });
 }
--- /dev/null
+++ b/test/tag/report.cpp
@@ -0,0 +1,50 @@
+/// \file
+/// \brief What /metrics and /status show of an engine.
+
+#include "TagFixture.h"
+
+#include <Io>
+
+#include <criterion/criterion.h>
+
+using namespace buckthornwing;
+using namespace buckthornwing::test;
+using namespace buckthornwing::literals;
+
+Test(report, a_view_that_was_never_confirmed_has_no_age)
+{
+  TagEngine engine(OneEngine::settings({}, "entry-1", 1));
+  const MilliTime now{ 100000 };
+  const std::string metrics = formatTagMetrics(engine.board(), {}, now);
+  cr_assert_eq(metrics.find("targets_age_milliseconds"), std::string::npos);
+  const std::string status = formatTagStatus(engine.board(), {}, now);
+  cr_assert_neq(status.find("\"targets_age_ms\":null"), std::string::npos);
+}
+
+Test(report, a_confirmed_view_shows_its_age)
+{
+  OneEngine world;
+  const MilliTime later = world.now + 250_ms;
+  const std::string metrics = formatTagMetrics(world.engine.board(), {}, later);
+  cr_assert_neq(metrics.find("buckthornwing_targets_age_milliseconds 250\n"),
+                std::string::npos);
+}
+
+Test(report, service_times_are_a_cumulative_histogram)
+{
+  OneEngine world;
+  const FlowKey flow = flowOf(1);
+  const auto placed = world.open(flow);
+  world.send(later(flow, placed.tag, 1000, 1, 100));
+  world.now = world.now + 40_ms;
+  world.send(later(flow, placed.tag, 1100, 500));
+  const std::string metrics =
+    formatTagMetrics(world.engine.board(), {}, world.now);
+  const auto has = [&](const char* text) {
+    return metrics.find(text) != std::string::npos;
+  };
+  cr_assert(has("buckthornwing_service_seconds_bucket{le=\"0.025\"} 0\n"));
+  cr_assert(has("buckthornwing_service_seconds_bucket{le=\"0.05\"} 1\n"));
+  cr_assert(has("buckthornwing_service_seconds_bucket{le=\"+Inf\"} 1\n"));
+  cr_assert(has("buckthornwing_service_seconds_count 1\n"));
+}
