--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -1,6 +1,6 @@
 #include "Commands.h"
 
-#include <Io>
+#include <src/Io/Error.h>
 
 #include <boost/leaf/error.hpp>
 #include <tclap/CmdLine.h>
--- a/bwctl/ConfigCommands.cpp
+++ b/bwctl/ConfigCommands.cpp
@@ -1,7 +1,8 @@
 #include "Commands.h"
 
 #include <Config>
-#include <Io>
+#include <src/Io/DaemonSettings.h>
+#include <src/Io/Error.h>
 
 #include <algorithm>
 #include <boost/json.hpp>
--- a/bwctl/StatusCommand.cpp
+++ b/bwctl/StatusCommand.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
-#include <Io>
+#include <src/Io/Error.h>
+#include <src/Io/HttpClient.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
--- a/bwctl/TraceCommand.cpp
+++ b/bwctl/TraceCommand.cpp
@@ -1,6 +1,7 @@
 #include "Commands.h"
 
-#include <Io>
+#include <src/Io/Error.h>
+#include <src/Io/RequestStory.h>
 
 #include <boost/json.hpp>
 #include <boost/leaf.hpp>
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -3,8 +3,6 @@
 
 #include "Commands.h"
 
-#include <Io>
-
 #include <boost/leaf.hpp>
 #include <iostream>
 
--- a/daemon/main.cpp
+++ b/daemon/main.cpp
@@ -1,7 +1,9 @@
 /// \file
 /// \brief The entry daemon: command line, signals and an EntryServer.
 
-#include <Io>
+#include <src/Io/DaemonSettings.h>
+#include <src/Io/EntryServer.h>
+#include <src/Io/RunMain.h>
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/leaf.hpp>
--- a/standin/FabricInstances.h
+++ b/standin/FabricInstances.h
@@ -2,7 +2,9 @@
 #define BUCKTHORNWING_STANDIN_FABRIC_INSTANCES_H
 
 #include <Core>
-#include <Io>
+#include <src/Io/DaemonSettings.h>
+#include <src/Io/Error.h>
+#include <src/Io/HttpClient.h>
 
 #include <string>
 #include <vector>
--- a/standin/backend.cpp
+++ b/standin/backend.cpp
@@ -3,7 +3,9 @@
 /// connections, and answers callers directly with its id in the payload.
 
 #include <Core>
-#include <Io>
+#include <src/Io/HttpServer.h>
+#include <src/Io/RunMain.h>
+#include <src/Io/UdpSocket.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/json.hpp>
--- a/standin/fabric.cpp
+++ b/standin/fabric.cpp
@@ -7,7 +7,9 @@
 
 #include <Config>
 #include <Core>
-#include <Io>
+#include <src/Io/DaemonSettings.h>
+#include <src/Io/RunMain.h>
+#include <src/Io/UdpSocket.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/standin/platform.cpp
+++ b/standin/platform.cpp
@@ -2,7 +2,10 @@
 /// \brief Stand-in for the platform: serves a configuration document from a
 /// file, which operators replace, and the list of instances in it.
 
-#include <Io>
+#include <Core>
+#include <src/Io/DaemonSettings.h>
+#include <src/Io/HttpServer.h>
+#include <src/Io/RunMain.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/test/platform/server.cpp
+++ b/test/platform/server.cpp
@@ -2,6 +2,7 @@
 /// \brief The whole daemon over loopback: sockets, the adapter and a stand-in
 /// for the platform's store.
 
+#include <Io>
 #include <platform/PacketHeader.h>
 #include <platform/StoreSource.h>
 #include <standin/StoreStandin.h>
