Dead targets come after suspected ones when nobody else is left

Both got the same penalty, the dead one had fewer flows and was chosen, and the opening was refused with no_target. Ruled out: load of the machine (the same choice in virtual time). Change: a dead target's penalty is above any load of a suspected one. Test health/a_suspected_target_is_better_than_a_dead_one fails without it.

--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -18,6 +18,18 @@
 
 /// \brief A silent target is taken only if all are silent.
 constexpr double kSilentPenalty = 1000000.0;
+/// \brief Above any load of a target that is only suspected.
+constexpr double kDeadPenalty = 1000 * kSilentPenalty;
+
+/// \returns what silence adds to a target's load.
+double
+silencePenalty(const TagBoard& board, TargetSlot slot, MilliTime now)
+{
+  if (board.healthState(slot) == HealthState::dead) {
+    return kDeadPenalty;
+  }
+  return board.isAvoided(slot, now) ? kSilentPenalty : 0.0;
+}
 
 std::uint64_t
 rendezvousScore(FlowId flow, const KnownTarget& target)
@@ -106,10 +118,9 @@
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone;
-    const bool isAvoided = board.isAvoided(slot, now);
     const double load = placementLoad(board, slot, now) +
                         (isLocal ? 0.0 : internal::kZoneMargin) +
-                        (isAvoided ? internal::kSilentPenalty : 0.0);
+                        internal::silencePenalty(board, slot, now);
     const std::uint64_t tie = internal::rendezvousScore(flow, target);
     if (load < bestLoad || (load == bestLoad && tie > bestTie)) {
       best = slot;
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -14,8 +14,8 @@
 public:
   Faults(emulator::World& world, std::uint64_t seed);
 
-  /// \brief Injects faults until \a span has passed; each has ended \a settle
-  /// later.
+  /// \brief Injects faults until \a span has passed. The last of them may go on
+  /// for some seconds.
   void start(MilliDuration span);
 
 private:
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -469,6 +469,27 @@
   cr_assert_neq(copy.target, placed.target);
 }
 
+/// A suspicion of a moment once refused a flow that the target would have
+/// taken.
+Test(health, a_suspected_target_is_better_than_a_dead_one)
+{
+  OneEngine world(2, { .paced = false });
+  const auto placed = world.open(flowOf(1));
+  sendTwice(world, flowOf(1), placed.tag);
+  answerProbes(world, ProbeResult::refused);
+  // The other target gets all flows, then is suspected too.
+  unsigned client = 2;
+  const auto other = world.open(flowOf(client));
+  cr_assert_neq(other.target, placed.target);
+  for (; client < 20; ++client) {
+    world.open(flowOf(client));
+  }
+  sendTwice(world, flowOf(2), other.tag);
+  const auto decision = world.send(opening(flowOf(++client)));
+  cr_assert(decision.outcome == SteeringOutcome::forward);
+  cr_assert_eq(decision.target, other.target);
+}
+
 Test(health, new_flows_avoid_a_suspected_target)
 {
   OneEngine world(2);
