Emulator: own words, one packet layout, failures told, judgement tested

A caller whose flow ends with its request under way now tries again instead of waiting for its deadline.

--- a/emulator/Callers.cpp
+++ b/emulator/Callers.cpp
@@ -1,6 +1,6 @@
 #include "Callers.h"
 
-#include <boost/endian/conversion.hpp>
+#include <standin/FabricPacket.h>
 
 namespace buckthornwing::emulator {
 namespace internal {
@@ -21,6 +21,20 @@
 
 }
 
+const char*
+requestEndName(RequestEnd end)
+{
+  switch (end) {
+    case RequestEnd::answered:
+      return "request_answered";
+    case RequestEnd::abandoned:
+      return "request_abandoned";
+    case RequestEnd::deadline:
+      return "request_deadline";
+  }
+  return "unknown";
+}
+
 Callers::Callers(World& world, CallerHooks hooks, std::uint64_t seed)
   : world(world)
   , hooks(std::move(hooks))
@@ -81,7 +95,7 @@
   Caller& caller = this->callers[index];
   if (caller.request) {
     if (now - caller.request->askedAt > internal::kDeadline) {
-      this->endRequest(index, "deadline");
+      this->endRequest(index, RequestEnd::deadline);
     }
     return;
   }
@@ -107,7 +121,7 @@
   if (flow.state == CallerFlow::State::opening) {
     const MilliDuration passed = now - flow.openingsAt[0];
     if (passed >= internal::kOpeningEnds) {
-      this->breakOff(flow, false);
+      this->abandon(flow, false);
     } else if (flow.openings < CallerFlow::kOpenings &&
                passed >= internal::kOpeningsAfter[flow.openings]) {
       this->sendOpening(flow, now);
@@ -201,7 +215,7 @@
 }
 
 void
-Callers::breakOff(CallerFlow& flow, bool mayHaveRun)
+Callers::abandon(CallerFlow& flow, bool mayHaveRun)
 {
   const std::size_t index = flow.caller;
   const bool isRepeatable = Routes::isIdempotent(flow.route) || !mayHaveRun;
@@ -212,14 +226,14 @@
     return;
   }
   if (!isRepeatable || caller.request->tries >= internal::kMostTries) {
-    this->endRequest(index, "broken_off");
+    this->endRequest(index, RequestEnd::abandoned);
     return;
   }
   this->openFlow(index, bootTime());
 }
 
 void
-Callers::endRequest(std::size_t index, const char* outcome)
+Callers::endRequest(std::size_t index, RequestEnd end)
 {
   Caller& caller = this->callers[index];
   const CallerRequest request = *caller.request;
@@ -227,14 +241,15 @@
   const MilliTime now = bootTime();
   caller.nextAt = now + MilliDuration{ static_cast<std::int64_t>(
                           this->random.next() % internal::kMostPauseMs) };
-  this->world.promises.count(std::string("request_") + outcome);
-  if (std::string_view(outcome) == "answered") {
+  this->world.promises.count(requestEndName(end));
+  if (end == RequestEnd::answered) {
     return;
   }
   if (this->demandedFrom && request.askedAt >= *this->demandedFrom) {
     this->world.promises.broken(
       "all_answered",
-      request.id + " " + outcome + ", caller " + std::to_string(index) +
+      request.id + " " + requestEndName(end) + ", caller " +
+        std::to_string(index) +
         (caller.flow ? " " + formatFlowKey(*caller.flow) : std::string()));
   }
   if (caller.flow) {
@@ -243,51 +258,51 @@
 }
 
 void
-Callers::onWord(const TargetWord& word)
+Callers::onMessage(const TargetMessage& message)
 {
-  const auto found = this->flows.find(word.flow);
+  const auto found = this->flows.find(message.flow);
   if (found == this->flows.end()) {
     return;
   }
   CallerFlow& flow = found->second;
   Caller& caller = this->callers[flow.caller];
-  if (word.kind == TargetWord::Kind::accept) {
+  if (message.kind == TargetMessage::Kind::accept) {
     if (flow.state != CallerFlow::State::opening) {
       return;
     }
     flow.state = CallerFlow::State::open;
-    flow.target = word.target;
-    const Target* target = this->world.targets.find(word.target);
+    flow.target = message.target;
+    const Target* target = this->world.targets.find(message.target);
     flow.targetIncarnation = target == nullptr ? 0 : target->incarnation;
-    flow.tag = word.tag;
-    flow.acknowledged = word.sequence;
+    flow.tag = message.tag;
+    flow.acknowledged = message.sequence;
     flow.openAt = bootTime();
     if (caller.request) {
       this->ask(flow, bootTime());
     }
     return;
   }
-  if (flow.state != CallerFlow::State::open || flow.target != word.target) {
+  if (flow.state != CallerFlow::State::open || flow.target != message.target) {
     return;
   }
-  switch (word.kind) {
-    case TargetWord::Kind::answer:
-      flow.acknowledged = word.sequence;
+  switch (message.kind) {
+    case TargetMessage::Kind::answer:
+      flow.acknowledged = message.sequence;
       flow.sequence += static_cast<std::uint32_t>(flow.requestText.size());
       flow.requestText.clear();
       flow.usedAt = bootTime();
       this->sendData(flow, {}, false);
-      if (caller.request && caller.request->id == word.requestId) {
-        this->endRequest(flow.caller, "answered");
+      if (caller.request && caller.request->id == message.requestId) {
+        this->endRequest(flow.caller, RequestEnd::answered);
       }
       break;
-    case TargetWord::Kind::finish:
-      this->close(flow);
+    case TargetMessage::Kind::finish:
+      this->abandon(flow, !flow.requestText.empty());
       break;
-    case TargetWord::Kind::reset:
-      this->breakOff(flow, true);
+    case TargetMessage::Kind::reset:
+      this->abandon(flow, true);
       break;
-    case TargetWord::Kind::accept:
+    case TargetMessage::Kind::accept:
       break;
   }
 }
@@ -295,20 +310,12 @@
 void
 Callers::onReset(std::span<const std::uint8_t> bytes, const Endpoint& from)
 {
-  // A reset of an instance: the flow's ends stand the other way round.
-  using boost::endian::load_big_u16;
-  constexpr std::size_t kHeaderBytes = 32;
-  constexpr std::uint8_t kReset = 64;
-  if (bytes.size() != kHeaderBytes || bytes[18] != kReset) {
+  const auto key = standin::parseReset(bytes);
+  if (!key) {
     this->world.promises.broken("resets_only", "a caller got another datagram");
     return;
   }
-  FlowKey key;
-  key.source = this->world.addresses.callers(bytes[11] - 1U);
-  key.source.port = load_big_u16(&bytes[0]);
-  key.destination = this->world.addresses.destination(0);
-  key.destination.port = load_big_u16(&bytes[2]);
-  const auto found = this->flows.find(key);
+  const auto found = this->flows.find(*key);
   if (found == this->flows.end() ||
       found->second.state == CallerFlow::State::closed) {
     return;
@@ -316,7 +323,7 @@
   CallerFlow& flow = found->second;
   this->world.promises.count("resets");
   this->hooks.onReset(flow, from);
-  this->breakOff(
+  this->abandon(
     flow, flow.state == CallerFlow::State::open && !flow.requestText.empty());
 }
 
--- a/emulator/Callers.h
+++ b/emulator/Callers.h
@@ -18,6 +18,18 @@
   std::string id; ///< of the present try
 };
 
+/// \brief How a request ended for its caller.
+enum class RequestEnd : std::uint8_t
+{
+  answered,
+  abandoned, ///< its flow ended and it may not be tried again
+  deadline,
+};
+
+/// \returns a stable lower-case name for counts.
+const char*
+requestEndName(RequestEnd end);
+
 /// \brief A flow as its caller sees it.
 struct CallerFlow
 {
@@ -66,7 +78,7 @@
   /// \brief Lets no new request start.
   void finish() { this->isFinishing = true; }
 
-  void onWord(const TargetWord& word);
+  void onMessage(const TargetMessage& message);
 
   /// \returns the flow, while it is known.
   const CallerFlow* find(const FlowKey& key) const;
@@ -103,8 +115,8 @@
   void ask(CallerFlow& flow, MilliTime now);
   void sendData(const CallerFlow& flow, std::string_view text, bool finishes);
   void close(CallerFlow& flow);
-  void breakOff(CallerFlow& flow, bool mayHaveRun);
-  void endRequest(std::size_t index, const char* outcome);
+  void abandon(CallerFlow& flow, bool mayHaveRun);
+  void endRequest(std::size_t index, RequestEnd end);
   void onReset(std::span<const std::uint8_t> bytes, const Endpoint& from);
 };
 
--- a/emulator/Checks.cpp
+++ b/emulator/Checks.cpp
@@ -8,15 +8,15 @@
 }
 
 bool
-Checks::isInTouch(std::size_t instance)
+Checks::areBoundsInForce(std::size_t instance)
 {
   const Entry& entry = this->world.entries.at(instance);
-  const bool isInTouch = entry.calm.isStable() &&
-                         this->world.storeCalm.isStable() &&
-                         bootTime() - entry.startedAt >= Bounds::kStable;
-  this->world.promises.count(isInTouch ? "checks_in_touch"
-                                       : "checks_out_of_touch");
-  return isInTouch;
+  const bool areBoundsInForce =
+    entry.stability.isStable() && this->world.storeStability.isStable() &&
+    bootTime() - entry.startedAt >= Bounds::kSettled;
+  this->world.promises.count(areBoundsInForce ? "checks_with_bounds"
+                                              : "checks_without_bounds");
+  return areBoundsInForce;
 }
 
 std::string
@@ -44,9 +44,9 @@
   this->checkService(*flow, sentAt, target, *instance);
   this->checkNoWayBack(*flow, sentAt, target, *instance);
   const bool drainsForLong =
-    target.drainingSince &&
-    bootTime() - *target.drainingSince > Bounds::kDrain + Bounds::kSlack;
-  if (drainsForLong && this->isInTouch(*instance)) {
+    target.drainingSince && bootTime() - *target.drainingSince >
+                              Bounds::kDrainSeenWithin + Bounds::kOwnDelay;
+  if (drainsForLong && this->areBoundsInForce(*instance)) {
     this->world.promises.broken(
       "no_new_flow_at_draining",
       this->describe(*flow, target.number, *instance));
@@ -61,11 +61,12 @@
 {
   const auto ever = this->world.routes.servicesSince(flow.route, MilliTime{});
   const MilliTime from =
-    sentAt + MilliDuration{ -Bounds::kApply.ms - Bounds::kSlack.ms };
+    sentAt +
+    MilliDuration{ -Bounds::kRoutesInForceWithin.ms - Bounds::kOwnDelay.ms };
   const auto lately = this->world.routes.servicesSince(flow.route, from);
-  const bool isLate = this->isInTouch(instance);
+  const bool isBound = this->areBoundsInForce(instance);
   if (!ever.contains(target.service) ||
-      (isLate && !lately.contains(target.service))) {
+      (isBound && !lately.contains(target.service))) {
     this->world.promises.broken("selection",
                                 this->describe(flow, target.number, instance) +
                                   " of " + target.service);
@@ -78,25 +79,15 @@
                        const Target& target,
                        std::size_t instance)
 {
-  const auto newest =
-    this->world.routes.newestVersion(flow.route, target.service);
-  const auto oldest =
-    this->world.routes.oldestOfNewest(flow.route, target.service);
-  if (!newest) {
-    return;
-  }
-  Shown& known = this->shown[{ instance, flow.route }];
+  const auto versions =
+    this->world.routes.versionsOf(flow.route, target.service);
   const unsigned start = this->world.entries.at(instance).starts;
-  const bool isSameRun = known.start == start;
-  if (isSameRun && *newest < known.version &&
-      sentAt - known.at > Bounds::kBack) {
+  if (versions &&
+      this->shown.show({ instance, start, flow.route, *versions, sentAt },
+                       bootTime())) {
     this->world.promises.broken("no_way_back",
                                 this->describe(flow, target.number, instance));
   }
-  // Only a service that one unbroken row of versions names proves a version.
-  if (!isSameRun || *oldest > known.version) {
-    known = { start, *oldest, bootTime() };
-  }
 }
 
 void
@@ -134,14 +125,15 @@
   const MilliTime sentAt = flow.openingsAt[0];
   const auto lately = this->world.routes.servicesSince(
     flow.route,
-    sentAt + MilliDuration{ -Bounds::kApply.ms - Bounds::kSlack.ms });
+    sentAt +
+      MilliDuration{ -Bounds::kRoutesInForceWithin.ms - Bounds::kOwnDelay.ms });
   const bool wasAllowed = !lately.contains("");
   bool canServe = true;
   for (const std::string& service : lately) {
     canServe = canServe && this->world.targets.canServe(service);
   }
   this->world.promises.count("refusals");
-  if (wasAllowed && canServe && this->isInTouch(instance)) {
+  if (wasAllowed && canServe && this->areBoundsInForce(instance)) {
     this->world.promises.broken("no_needless_refusal",
                                 this->describe(flow, 0, instance));
   }
@@ -164,12 +156,12 @@
   // A fresh instance can't tell an entry that lapsed from a target that left;
   // flows whose requests may be repeated are then tried again elsewhere.
   const bool isFresh =
-    bootTime() - this->world.entries.at(instance).startedAt < Bounds::kStable;
+    bootTime() - this->world.entries.at(instance).startedAt < Bounds::kSettled;
   if (isFresh && Routes::isIdempotent(flow.route)) {
     this->world.promises.count("resets_by_fresh_instances");
     return;
   }
-  if (target->calm.isStable()) {
+  if (target->stability.isStable()) {
     this->world.promises.broken("no_reset_of_living",
                                 this->describe(flow, flow.target, instance));
   }
--- a/emulator/Checks.h
+++ b/emulator/Checks.h
@@ -3,9 +3,6 @@
 
 #include "Callers.h"
 
-#include <map>
-#include <utility>
-
 namespace buckthornwing::emulator {
 
 /// \brief Judges what callers and targets see against the promises.
@@ -32,18 +29,10 @@
   void onReset(const CallerFlow& flow, const Endpoint& sender);
 
 private:
-  /// \brief What an instance has shown of the routes since its start.
-  struct Shown
-  {
-    unsigned start = 0;
-    std::size_t version = 0;
-    MilliTime at{};
-  };
-
   World& world;
-  std::map<std::pair<std::size_t, std::size_t>, Shown> shown;
+  ShownVersions shown{ Bounds::kRegressionWindow };
 
-  bool isInTouch(std::size_t instance);
+  bool areBoundsInForce(std::size_t instance);
   void checkService(const CallerFlow& flow,
                     MilliTime sentAt,
                     const Target& target,
--- a/emulator/Emulation.cpp
+++ b/emulator/Emulation.cpp
@@ -1,8 +1,5 @@
 #include "Emulation.h"
 
-#include <src/Io/Error.h>
-
-#include <boost/leaf.hpp>
 #include <unistd.h>
 
 namespace buckthornwing::emulator {
@@ -41,7 +38,7 @@
                              this->addresses,
                              this->kept,
                              this->store,
-                             this->storeCalm,
+                             this->storeStability,
                              this->entries,
                              this->targets,
                              *this->routes,
@@ -60,7 +57,7 @@
 Emulation::targetHooks()
 {
   return {
-    [this](const TargetWord& word) { this->callers->onWord(word); },
+    [this](const TargetMessage& message) { this->callers->onMessage(message); },
     [this](
       const CallerPacket& packet, const Target& target, const Endpoint& from) {
       this->checks->onOpening(
@@ -75,12 +72,8 @@
 void
 Emulation::startCallers()
 {
-  boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<void> {
-      return this->callers->start(this->settings.callers);
-    },
-    [&](const Error& error) { this->kept.broken("setup", formatError(error)); },
-    [] {});
+  this->kept.mustSucceed(
+    [&] { return this->callers->start(this->settings.callers); });
 }
 
 }
--- a/emulator/Emulation.h
+++ b/emulator/Emulation.h
@@ -44,7 +44,7 @@
   Timers timers{ context };
   Addresses addresses;
   Promises kept;
-  Calm storeCalm;
+  Stability storeStability;
   standin::StoreStandin store;
   Entries entries;
   Targets targets;
--- a/emulator/Entries.cpp
+++ b/emulator/Entries.cpp
@@ -1,9 +1,6 @@
 #include "Entries.h"
 
-#include <src/Io/Error.h>
-
 #include <boost/json.hpp>
-#include <boost/leaf.hpp>
 #include <csignal>
 #include <fstream>
 
@@ -61,10 +58,10 @@
 {
   this->promises.fault(
     name, std::to_string(index) + " for " + std::to_string(span.ms));
-  this->entries[index].calm.begin();
+  this->entries[index].stability.begin();
   this->timers.after(span, [this, index, undo = std::move(undo)] {
     undo(this->entries[index]);
-    this->entries[index].calm.end();
+    this->entries[index].stability.end();
   });
 }
 
@@ -91,10 +88,13 @@
   entry.stopAskedAt = bootTime();
   entry.process->signal(SIGTERM);
   this->harm(
-    index, "stop", Bounds::kGrace + downFor, [this, index](Entry& stopped) {
+    index,
+    "stop",
+    Bounds::kStopWithin + downFor,
+    [this, index](Entry& stopped) {
       if (stopped.process->isRunning() && !stopped.wasKilled) {
         // A frozen process can't stop in time; the fabric kills it then.
-        if (stopped.thawed.isStable(Bounds::kGrace + Bounds::kStable)) {
+        if (stopped.running.isStable(Bounds::kStopWithin + Bounds::kSettled)) {
           this->promises.broken("stops_in_time", std::to_string(index));
         }
         stopped.wasKilled = true;
@@ -112,12 +112,12 @@
   if (!entry.process->isRunning()) {
     return;
   }
-  entry.thawed.begin();
+  entry.running.begin();
   entry.process->signal(SIGSTOP);
-  this->harm(index, "freeze", span, [](Entry& thawed) {
-    thawed.thawed.end();
-    if (thawed.thawed.isWell()) {
-      thawed.process->signal(SIGCONT);
+  this->harm(index, "freeze", span, [](Entry& entry) {
+    entry.running.end();
+    if (entry.running.isWell()) {
+      entry.process->signal(SIGCONT);
     }
   });
 }
@@ -130,13 +130,13 @@
                        std::to_string(index));
   this->writeSettings(entry, index, isBroken);
   entry.process->signal(SIGHUP);
-  entry.calm.touch();
+  entry.stability.touch();
 }
 
 void
 Entries::stallLog(std::size_t index, MilliDuration span)
 {
-  // Must change nothing, so the instance counts as calm.
+  // Must change nothing, so the instance counts as stability.
   this->promises.fault("stalled_log", std::to_string(index));
   this->entries[index].process->setReading(false);
   this->timers.after(
@@ -157,11 +157,11 @@
 void
 Entries::cutPeer(std::size_t index, std::size_t from, MilliDuration span)
 {
-  this->entries[index].deafTo.insert(from);
+  this->entries[index].blockedPeers.insert(from);
   this->harm(index,
-             "deaf_to_" + std::to_string(from),
+             "blocked_from_" + std::to_string(from),
              span,
-             [from](Entry& entry) { entry.deafTo.erase(from); });
+             [from](Entry& entry) { entry.blockedPeers.erase(from); });
 }
 
 void
@@ -215,7 +215,7 @@
     [this, index](std::span<const std::uint8_t> bytes, const Endpoint& from) {
       Entry& receiver = this->entries[index];
       const auto sender = this->indexOf(from);
-      if (!sender || receiver.deafTo.contains(*sender)) {
+      if (!sender || receiver.blockedPeers.contains(*sender)) {
         return;
       }
       this->timers.after(
@@ -246,7 +246,7 @@
     { "seeds", std::move(seeds) },
     { "store", formatEndpoint(plan.storeProxy(index)) },
     { "fleet_key", "a key for soak runs alone" },
-    { "stop_within_s", Bounds::kGrace.ms / 1000 },
+    { "stop_within_s", Bounds::kStopWithin.ms / 1000 },
     { "log_level", "decisions" }
   };
   const std::string text = boost::json::serialize(settings);
@@ -266,17 +266,9 @@
   entry.stopAskedAt.reset();
   ++entry.starts;
   entry.startedAt = bootTime();
-  const bool started = boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<bool> {
-      BOOST_LEAF_CHECK(entry.process->launch());
-      return true;
-    },
-    [&](const Error& error) {
-      this->promises.broken("starts", formatError(error));
-      return false;
-    },
-    [] { return false; });
-  if (started && !entry.thawed.isWell()) {
+  const bool started =
+    this->promises.mustSucceed([&] { return entry.process->launch(); });
+  if (started && !entry.running.isWell()) {
     entry.process->signal(SIGSTOP);
   }
 }
--- a/emulator/Entries.h
+++ b/emulator/Entries.h
@@ -21,13 +21,13 @@
 struct Entry
 {
   std::string zone;
-  Calm calm;
-  Calm thawed; ///< no freeze
+  Stability stability;
+  Stability running; ///< without freezes
   unsigned starts = 0;
   MilliTime startedAt{};
   std::optional<MilliTime> stopAskedAt; ///< of a planned stop under way
   bool wasKilled = false;
-  std::set<std::size_t> deafTo; ///< peers whose datagrams are lost
+  std::set<std::size_t> blockedPeers; ///< peers whose datagrams are lost
   MilliDuration peerDelay{};
   std::string settingsFile;
   std::unique_ptr<EntryProcess> process;
--- a/emulator/EntryProcess.cpp
+++ b/emulator/EntryProcess.cpp
@@ -103,9 +103,9 @@
 EntryProcess::residentKilobytes() const
 {
   std::ifstream status("/proc/" + std::to_string(this->pid) + "/status");
-  std::string word;
-  while (status >> word) {
-    if (word == "VmRSS:") {
+  std::string message;
+  while (status >> message) {
+    if (message == "VmRSS:") {
       std::uint64_t size = 0;
       status >> size;
       return size;
--- a/emulator/Promises.h
+++ b/emulator/Promises.h
@@ -1,8 +1,11 @@
 #ifndef BUCKTHORNWING_EMULATOR_PROMISES_H
 #define BUCKTHORNWING_EMULATOR_PROMISES_H
 
+#include <src/Io/Error.h>
 #include <src/Io/WallClock.h>
 
+#include <boost/leaf.hpp>
+
 #include <map>
 #include <ostream>
 #include <string>
@@ -13,20 +16,20 @@
 /// \brief The bounds of the promises, as the operators state them.
 struct Bounds
 {
-  static constexpr MilliDuration kStable{ 4000 };
-  static constexpr MilliDuration kApply{ 3000 };
-  static constexpr MilliDuration kDrain{ 3000 };
-  static constexpr MilliDuration kGrace{ 6000 };
-  static constexpr MilliDuration kRecover{ 12000 };
+  static constexpr MilliDuration kSettled{ 4000 };
+  static constexpr MilliDuration kRoutesInForceWithin{ 3000 };
+  static constexpr MilliDuration kDrainSeenWithin{ 3000 };
+  static constexpr MilliDuration kStopWithin{ 6000 };
+  static constexpr MilliDuration kRecoverWithin{ 12000 };
   /// An instance never goes back behind a version it has shown for so long.
-  static constexpr MilliDuration kBack{ 2000 };
+  static constexpr MilliDuration kRegressionWindow{ 2000 };
   /// Scheduling of the emulator itself.
-  static constexpr MilliDuration kSlack{ 200 };
+  static constexpr MilliDuration kOwnDelay{ 200 };
   static constexpr std::uint64_t kMostResidentKilobytes = 64 * 1024;
 };
 
 /// \brief Since when something has been without a fault.
-class Calm
+class Stability
 {
 public:
   void begin() { ++this->faults; }
@@ -38,7 +41,7 @@
   /// \brief A fault of a moment.
   void touch() { this->since = bootTime(); }
   bool isWell() const { return this->faults == 0; }
-  bool isStable(MilliDuration span = Bounds::kStable) const
+  bool isStable(MilliDuration span = Bounds::kSettled) const
   {
     return this->faults == 0 && bootTime() - this->since >= span;
   }
@@ -60,6 +63,27 @@
   /// \brief Notes a broken promise.
   void broken(const std::string& promise, const std::string& detail);
 
+  /// \brief Runs a step of the emulation that must not fail.
+  /// \param body returns boost::leaf::result<void>
+  /// \returns whether it succeeded
+  template<typename Body>
+  bool mustSucceed(Body body)
+  {
+    return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<bool> {
+        BOOST_LEAF_CHECK(body());
+        return true;
+      },
+      [&](const Error& error) {
+        this->broken("setup", formatError(error));
+        return false;
+      },
+      [&] {
+        this->broken("setup", "unknown reason");
+        return false;
+      });
+  }
+
   /// \brief Notes something that explains a broken promise later.
   void note(const std::string& what);
 
--- a/emulator/Routes.cpp
+++ b/emulator/Routes.cpp
@@ -1,5 +1,8 @@
 #include "Routes.h"
 
+#include <platform/StoreItems.h>
+#include <src/Io/WallClock.h>
+
 namespace buckthornwing::emulator {
 
 Routes::Routes(standin::StoreStandin& store, const Addresses& addresses)
@@ -36,29 +39,18 @@
   return services;
 }
 
-std::optional<std::size_t>
-Routes::newestVersion(std::size_t index, const std::string& service) const
+std::optional<VersionSpan>
+Routes::versionsOf(std::size_t index, const std::string& service) const
 {
+  std::optional<VersionSpan> span;
   for (std::size_t i = this->versions.size(); i-- > 0;) {
     if (this->versions[i].services[index] == service) {
-      return i;
+      span = VersionSpan{ i, span ? span->newest : i };
+    } else if (span) {
+      break;
     }
   }
-  return std::nullopt;
-}
-
-std::optional<std::size_t>
-Routes::oldestOfNewest(std::size_t index, const std::string& service) const
-{
-  const auto newest = this->newestVersion(index, service);
-  if (!newest) {
-    return std::nullopt;
-  }
-  std::size_t oldest = *newest;
-  while (oldest > 0 && this->versions[oldest - 1].services[index] == service) {
-    --oldest;
-  }
-  return oldest;
+  return span;
 }
 
 void
@@ -72,7 +64,7 @@
                          *version.services[i] });
     }
   }
-  this->store.put("op/config",
+  this->store.put(std::string(platform::kRoutesKey),
                   standin::formatRouteEntries(
                     version.number, routes, { "booking", "billing" }));
   this->versions.push_back(std::move(version));
--- a/emulator/Routes.h
+++ b/emulator/Routes.h
@@ -2,7 +2,7 @@
 #define BUCKTHORNWING_EMULATOR_ROUTES_H
 
 #include "Addresses.h"
-#include "Promises.h"
+#include "ShownVersions.h"
 
 #include <standin/StoreEntries.h>
 #include <standin/StoreStandin.h>
@@ -37,13 +37,10 @@
   /// flows of the route; an empty text stands for a version without the route.
   std::set<std::string> servicesSince(std::size_t index, MilliTime from) const;
 
-  /// \returns the newest version that sends flows of the route to \a service.
-  std::optional<std::size_t> newestVersion(std::size_t index,
-                                           const std::string& service) const;
-
-  /// \returns the oldest version that does so without a break until the newest.
-  std::optional<std::size_t> oldestOfNewest(std::size_t index,
-                                            const std::string& service) const;
+  /// \returns the newest versions in a row that send flows of the route to
+  /// \a service, by their place in the history.
+  std::optional<VersionSpan> versionsOf(std::size_t index,
+                                        const std::string& service) const;
 
 private:
   struct Version
--- a/emulator/SilentPort.cpp
+++ b/emulator/SilentPort.cpp
@@ -1,40 +1,33 @@
 #include "SilentPort.h"
 
-#include <memory>
-
 namespace buckthornwing::emulator {
 namespace internal {
 
-using boost::asio::ip::tcp;
-
-/// \brief Takes a place in the queue, or waits for one.
+/// \brief Takes a place in the queue, or waits for one; either will do.
 void
-occupy(tcp::socket& socket, const tcp::endpoint& server)
+occupy(boost::asio::ip::tcp::socket& socket, const Endpoint& server)
 {
-  socket.async_connect(server, [](const boost::system::error_code&) {});
+  socket.async_connect(toTcpEndpoint(server),
+                       [](const boost::system::error_code&) {});
 }
 
 }
 
-SilentPort::SilentPort(boost::asio::io_context& context,
-                       const Endpoint& address)
+SilentPort::SilentPort(boost::asio::io_context& context)
   : acceptor(context)
   , first(context)
   , second(context)
 {
-  const internal::tcp::endpoint local(
-    boost::asio::ip::make_address(formatIpAddress(address.address)),
-    address.port);
-  boost::system::error_code code;
-  this->acceptor.open(local.protocol(), code);
-  this->acceptor.set_option(boost::asio::socket_base::reuse_address(true),
-                            code);
-  this->acceptor.bind(local, code);
-  this->acceptor.listen(0, code);
-  if (!code) {
-    internal::occupy(this->first, local);
-    internal::occupy(this->second, local);
-  }
+}
+
+boost::leaf::result<void>
+SilentPort::open(const Endpoint& address)
+{
+  BOOST_LEAF_CHECK(
+    openAcceptor(this->acceptor, address, 0, "bind silent port"));
+  internal::occupy(this->first, address);
+  internal::occupy(this->second, address);
+  return {};
 }
 
 }
--- a/emulator/SilentPort.h
+++ b/emulator/SilentPort.h
@@ -1,10 +1,9 @@
 #ifndef BUCKTHORNWING_EMULATOR_SILENT_PORT_H
 #define BUCKTHORNWING_EMULATOR_SILENT_PORT_H
 
-#include <Core>
+#include "TcpPort.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
 
 namespace buckthornwing::emulator {
 
@@ -13,7 +12,9 @@
 class SilentPort
 {
 public:
-  SilentPort(boost::asio::io_context& context, const Endpoint& address);
+  explicit SilentPort(boost::asio::io_context& context);
+
+  boost::leaf::result<void> open(const Endpoint& address);
 
 private:
   boost::asio::ip::tcp::acceptor acceptor;
--- a/emulator/StreamProxy.cpp
+++ b/emulator/StreamProxy.cpp
@@ -1,7 +1,5 @@
 #include "StreamProxy.h"
 
-#include <src/Io/Error.h>
-
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -14,20 +12,14 @@
 
 constexpr std::chrono::milliseconds kDelay{ 300 };
 
-tcp::endpoint
-toTcpEndpoint(const Endpoint& endpoint)
-{
-  return { boost::asio::ip::make_address(formatIpAddress(endpoint.address)),
-           endpoint.port };
-}
-
 /// \brief Closes a socket so that its peer sees a reset.
 void
 resetSocket(tcp::socket& socket)
 {
-  boost::system::error_code code;
-  socket.set_option(boost::asio::socket_base::linger(true, 0), code);
-  socket.close(code);
+  // A socket that its peer has closed already needs nothing more.
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  socket.close(ignored);
 }
 
 }
@@ -69,22 +61,11 @@
 boost::leaf::result<void>
 StreamProxy::open(const Endpoint& address)
 {
-  const auto local = internal::toTcpEndpoint(address);
-  boost::system::error_code code;
-  this->acceptor.open(local.protocol(), code);
-  if (!code) {
-    this->acceptor.set_option(boost::asio::socket_base::reuse_address(true),
-                              code);
-    this->acceptor.bind(local, code);
-  }
-  if (!code) {
-    this->acceptor.listen(boost::asio::socket_base::max_listen_connections,
-                          code);
-  }
-  if (code) {
-    return boost::leaf::new_error(
-      Error{ "open proxy", formatEndpoint(address), code.message() });
-  }
+  BOOST_LEAF_CHECK(
+    openAcceptor(this->acceptor,
+                 address,
+                 boost::asio::socket_base::max_listen_connections,
+                 "open proxy"));
   this->accept();
   return {};
 }
@@ -116,7 +97,7 @@
       } else if (!code) {
         this->links.push_back(link);
         link->server.async_connect(
-          internal::toTcpEndpoint(this->server),
+          toTcpEndpoint(this->server),
           [this, link](const boost::system::error_code& problem) {
             if (problem) {
               link->reset();
@@ -140,6 +121,7 @@
     [this, link, isRequest](const boost::system::error_code& code,
                             std::size_t size) {
       if (code && !link->isSilent) {
+        // The other side may have closed first.
         boost::system::error_code ignored;
         auto& to = isRequest ? link->server : link->client;
         to.shutdown(internal::tcp::socket::shutdown_send, ignored);
--- a/emulator/StreamProxy.h
+++ b/emulator/StreamProxy.h
@@ -1,11 +1,9 @@
 #ifndef BUCKTHORNWING_EMULATOR_STREAM_PROXY_H
 #define BUCKTHORNWING_EMULATOR_STREAM_PROXY_H
 
-#include <Core>
+#include "TcpPort.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/leaf/result.hpp>
 #include <memory>
 #include <vector>
 
--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -1,12 +1,12 @@
 #include "Targets.h"
 
-#include <src/Io/Error.h>
-
 #include <platform/PacketHeader.h>
+#include <platform/StoreItems.h>
 #include <standin/StoreEntries.h>
 
 #include <boost/endian/conversion.hpp>
-#include <boost/leaf.hpp>
+#include <iomanip>
+#include <sstream>
 
 namespace buckthornwing::emulator {
 namespace internal {
@@ -63,8 +63,8 @@
 {
   for (const auto& target : this->targets) {
     if (target->service == service && target->state == Target::State::serving &&
-        target->calm.isStable() &&
-        bootTime() - target->registeredAt >= Bounds::kStable) {
+        target->stability.isStable() &&
+        bootTime() - target->registeredAt >= Bounds::kSettled) {
       return true;
     }
   }
@@ -104,7 +104,7 @@
   const std::uint64_t number = target.number;
   this->timers.after(internal::kEntryLife,
                      [this, number] { this->expire(number); });
-  target.calm.touch();
+  target.stability.touch();
   target.flows.clear();
   if (isSilent) {
     this->fallSilent(index);
@@ -116,15 +116,15 @@
 }
 
 void
-Targets::rebirth(std::size_t index)
+Targets::restart(std::size_t index)
 {
   Target& target = *this->targets[index];
   if (target.state != Target::State::serving) {
     return;
   }
-  this->promises.fault("rebirth", std::to_string(target.number));
+  this->promises.fault("restart", std::to_string(target.number));
   target.flows.clear();
-  target.calm.touch();
+  target.stability.touch();
   ++target.incarnation;
   target.startedAt = bootTime();
   this->enter(target, index);
@@ -139,11 +139,11 @@
   }
   this->promises.fault("target_cut", std::to_string(target.number));
   this->fallSilent(index);
-  target.calm.begin();
+  target.stability.begin();
   const std::uint64_t number = target.number;
   this->timers.after(span, [this, index, number] {
     Target& healed = *this->targets[index];
-    healed.calm.end();
+    healed.stability.end();
     if (healed.number == number) {
       healed.state = Target::State::serving;
       healed.silence.reset();
@@ -168,7 +168,7 @@
       for (std::size_t i = 0; i < this->targets.size(); ++i) {
         Target& target = *this->targets[i];
         if (this->forgotten == 0 && target.state != Target::State::gone &&
-            target.state != Target::State::dark) {
+            target.state != Target::State::silent) {
           this->enter(target, i);
         }
       }
@@ -180,18 +180,17 @@
 Targets::putUnreadableEntry()
 {
   this->promises.count("fault_unreadable_entry");
-  this->store.put("servers/i-" + std::to_string(this->nextNumber), "\xff{");
+  this->store.put(std::string(platform::kTargetPrefix) + "i-unreadable",
+                  "\xff{");
 }
 
 std::string
 Targets::keyOf(const Target& target) const
 {
-  std::array<char, 32> text{};
-  std::snprintf(text.data(),
-                text.size(),
-                "servers/i-%08llx",
-                static_cast<unsigned long long>(target.number));
-  return text.data();
+  std::ostringstream key;
+  key << platform::kTargetPrefix << "i-" << std::hex << std::setw(8)
+      << std::setfill('0') << target.number;
+  return key.str();
 }
 
 void
@@ -208,7 +207,7 @@
   target.flows.clear();
   target.queue.clear();
   target.busy = 0;
-  target.calm.touch();
+  target.stability.touch();
   this->open(index);
   if (this->forgotten == 0) {
     this->enter(target, index);
@@ -220,19 +219,13 @@
 {
   Target& target = *this->targets[index];
   target.packets = std::make_unique<Datagrams>(this->context);
-  boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<void> {
-      return target.packets->open(
-        this->addresses.target(index),
-        [this, index](std::span<const std::uint8_t> bytes,
-                      const Endpoint& from) {
-          this->onDatagram(index, bytes, from);
-        });
-    },
-    [&](const Error& error) {
-      this->promises.broken("setup", formatError(error));
-    },
-    [] {});
+  this->promises.mustSucceed([&] {
+    return target.packets->open(
+      this->addresses.target(index),
+      [this, index](std::span<const std::uint8_t> bytes, const Endpoint& from) {
+        this->onDatagram(index, bytes, from);
+      });
+  });
   this->openHealth(index);
 }
 
@@ -241,22 +234,15 @@
 {
   Target& target = *this->targets[index];
   target.health = std::make_unique<HttpServer>(this->context);
-  boost::leaf::try_handle_all(
-    [&]() -> boost::leaf::result<void> {
-      BOOST_LEAF_CHECK(
-        target.health->open(this->addresses.target(index), "bind health"));
-      target.health->start(
-        [&target](const std::string&, const HttpServer::Respond& respond) {
-          constexpr unsigned kUnavailable = 503;
-          const bool isWell = target.state == Target::State::serving;
-          respond({ isWell ? 200 : kUnavailable, "text/plain", "", {} });
-        });
-      return {};
-    },
-    [&](const Error& error) {
-      this->promises.broken("setup", formatError(error));
-    },
-    [] {});
+  this->promises.mustSucceed([&] {
+    return target.health->open(this->addresses.target(index), "bind health");
+  });
+  target.health->start(
+    [&target](const std::string&, const HttpServer::Respond& respond) {
+      constexpr unsigned kUnavailable = 503;
+      const bool isWell = target.state == Target::State::serving;
+      respond({ isWell ? 200 : kUnavailable, "text/plain", "", {} });
+    });
 }
 
 void
@@ -272,10 +258,11 @@
 Targets::fallSilent(std::size_t index)
 {
   Target& target = *this->targets[index];
-  target.state = Target::State::dark;
+  target.state = Target::State::silent;
   this->closeHealth(target);
-  target.silence =
-    std::make_unique<SilentPort>(this->context, this->addresses.target(index));
+  target.silence = std::make_unique<SilentPort>(this->context);
+  this->promises.mustSucceed(
+    [&] { return target.silence->open(this->addresses.target(index)); });
 }
 
 void
@@ -343,7 +330,7 @@
   if (!packet.opens) {
     this->hooks.onPacket(packet, number);
   }
-  if (number != target.number || target.state == Target::State::dark) {
+  if (number != target.number || target.state == Target::State::silent) {
     return;
   }
   if (packet.opens) {
@@ -366,11 +353,11 @@
   if (held->second.tag != packet.tag) {
     this->promises.broken("one_tag", formatFlowKey(packet.flow));
   }
-  TargetWord word;
-  word.kind = TargetWord::Kind::accept;
-  word.flow = packet.flow;
-  word.sequence = sequence + 1;
-  this->say(target, word);
+  TargetMessage message;
+  message.kind = TargetMessage::Kind::accept;
+  message.flow = packet.flow;
+  message.sequence = sequence + 1;
+  this->send(target, message);
 }
 
 void
@@ -379,11 +366,11 @@
   Target& target = *this->targets[index];
   const auto held = target.flows.find(packet.flow);
   if (held == target.flows.end()) {
-    TargetWord word;
-    word.kind = TargetWord::Kind::reset;
-    word.flow = packet.flow;
+    TargetMessage message;
+    message.kind = TargetMessage::Kind::reset;
+    message.flow = packet.flow;
     if (!packet.finishes) {
-      this->say(target, word);
+      this->send(target, message);
     }
     return;
   }
@@ -435,30 +422,30 @@
   if (target.incarnation != incarnation || held == target.flows.end()) {
     return;
   }
-  TargetWord word;
-  word.kind = TargetWord::Kind::answer;
-  word.flow = flow;
-  word.requestId = id;
+  TargetMessage message;
+  message.kind = TargetMessage::Kind::answer;
+  message.flow = flow;
+  message.requestId = id;
   held->second.sequence += internal::kAnswerBytes;
-  word.sequence = held->second.sequence + 1;
-  this->say(target, word);
+  message.sequence = held->second.sequence + 1;
+  this->send(target, message);
   if (target.state == Target::State::draining) {
-    word.kind = TargetWord::Kind::finish;
-    this->say(target, word);
+    message.kind = TargetMessage::Kind::finish;
+    this->send(target, message);
   }
 }
 
 void
-Targets::say(const Target& target, TargetWord word)
+Targets::send(const Target& target, TargetMessage message)
 {
-  word.target = target.number;
-  const auto held = target.flows.find(word.flow);
-  word.tag = held == target.flows.end() ? FlowTag{} : held->second.tag;
+  message.target = target.number;
+  const auto held = target.flows.find(message.flow);
+  message.tag = held == target.flows.end() ? FlowTag{} : held->second.tag;
   const std::uint64_t number = target.number;
-  this->timers.after(internal::kWire, [this, number, word] {
-    const Target* speaker = this->find(number);
-    if (speaker != nullptr && speaker->state != Target::State::dark) {
-      this->hooks.onWord(word);
+  this->timers.after(internal::kWire, [this, number, message] {
+    const Target* sender = this->find(number);
+    if (sender != nullptr && sender->state != Target::State::silent) {
+      this->hooks.onMessage(message);
     }
   });
 }
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -21,8 +21,8 @@
 
 namespace buckthornwing::emulator {
 
-/// \brief What a target says to a caller.
-struct TargetWord
+/// \brief A packet of a target to a caller.
+struct TargetMessage
 {
   enum class Kind : std::uint8_t
   {
@@ -47,8 +47,8 @@
   {
     serving,
     draining,
-    dark, ///< takes nothing and answers nothing
-    gone, ///< its address answers that nothing listens
+    silent, ///< takes nothing and answers nothing
+    gone,   ///< its address answers that nothing listens
   };
 
   struct Held
@@ -67,10 +67,10 @@
   MilliTime startedAt{};
   MilliTime registeredAt{};
   std::optional<MilliTime> drainingSince; ///< as the store acknowledged it
-  Calm calm;
+  Stability stability;
   std::unique_ptr<Datagrams> packets;
   std::unique_ptr<HttpServer> health;
-  std::unique_ptr<SilentPort> silence; ///< in place of health while dark
+  std::unique_ptr<SilentPort> silence; ///< in place of health while silent
   std::map<FlowKey, Held> flows;
   unsigned busy = 0;
   std::deque<std::function<void()>> queue;
@@ -79,7 +79,7 @@
 /// \brief What targets tell the rest of a run.
 struct TargetHooks
 {
-  std::function<void(const TargetWord&)> onWord;
+  std::function<void(const TargetMessage&)> onMessage;
   /// \brief An opening reached a target that accepts it.
   std::function<void(const CallerPacket&, const Target&, const Endpoint& from)>
     onOpening;
@@ -112,7 +112,7 @@
 
   void drain(std::size_t index);
   void crash(std::size_t index, bool isSilent);
-  void rebirth(std::size_t index);
+  void restart(std::size_t index);
   void cut(std::size_t index, MilliDuration span);
 
   /// \brief Takes all entries out of the store and puts those of living
@@ -156,7 +156,7 @@
                   std::uint64_t incarnation,
                   const FlowKey& flow,
                   const std::string& id);
-  void say(const Target& target, TargetWord word);
+  void send(const Target& target, TargetMessage message);
 };
 
 }
--- a/emulator/World.h
+++ b/emulator/World.h
@@ -15,7 +15,7 @@
   Addresses addresses;
   Promises& promises;
   standin::StoreStandin& store;
-  Calm& storeCalm;
+  Stability& storeStability;
   Entries& entries;
   Targets& targets;
   Routes& routes;
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -116,7 +116,7 @@
     this->world.targets.crash(this->anyTarget(), this->below(2) == 0);
   });
   this->kinds.emplace_back(
-    [this] { this->world.targets.rebirth(this->anyTarget()); });
+    [this] { this->world.targets.restart(this->anyTarget()); });
   this->kinds.emplace_back([this] {
     this->world.targets.cut(this->anyTarget(), this->span(300, 3000));
   });
@@ -171,7 +171,7 @@
   const std::size_t mood = this->below(kMoods.size());
   this->world.promises.fault("store", "mood " + std::to_string(mood));
   ++this->storeFaults;
-  this->world.storeCalm.begin();
+  this->world.storeStability.begin();
   this->world.store.setMood(kMoods[mood]);
   this->world.timers.after(this->span(300, 5000),
                            [this] { this->endStoreFault(); });
@@ -180,7 +180,7 @@
 void
 Faults::endStoreFault()
 {
-  this->world.storeCalm.end();
+  this->world.storeStability.end();
   if (--this->storeFaults == 0) {
     this->world.store.setMood(standin::StoreMood::well);
   }
@@ -193,7 +193,7 @@
     return;
   }
   ++this->storeFaults;
-  this->world.storeCalm.begin();
+  this->world.storeStability.begin();
   const MilliDuration span = this->span(1000, 4000);
   this->world.targets.forgetEntries(span);
   this->world.timers.after(span, [this] { this->endStoreFault(); });
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -93,7 +93,7 @@
   Faults faults(emulation.parts(), flags.emulation.seed + 2);
   const emulator::Timers& timers = emulation.parts().timers;
   const MilliDuration recovered =
-    kWarmUp + flags.faultsFor + kLongestFault + Bounds::kRecover;
+    kWarmUp + flags.faultsFor + kLongestFault + Bounds::kRecoverWithin;
   timers.after(kWarmUp, [&] { faults.start(flags.faultsFor); });
   timers.after(recovered, [&] { onRecovered(emulation); });
   timers.after(recovered + kDemand, [&] { emulation.load().finish(); });
--- a/standin/FabricPacket.cpp
+++ b/standin/FabricPacket.cpp
@@ -6,37 +6,48 @@
 #include <boost/endian/conversion.hpp>
 
 namespace buckthornwing::standin {
-namespace internal {
-
-constexpr std::uint8_t kOpens = 128;
-constexpr std::uint8_t kFinishes = 8;
-constexpr std::uint8_t kAcknowledges = 4;
-
-}
 
 std::vector<std::uint8_t>
 encodeCallerPacket(const CallerPacket& packet)
 {
   using boost::endian::store_big_u16;
   using boost::endian::store_big_u32;
-  std::vector<std::uint8_t> bytes(platform::kHeaderBytes +
-                                  packet.payload.size());
+  namespace offset = platform::offset;
+  namespace flag = platform::flag;
   const FlowKey& flow = packet.flow;
-  store_big_u16(&bytes[0], flow.destination.port);
-  store_big_u16(&bytes[2], flow.source.port);
-  std::copy_n(&flow.source.address.bytes[12], 4, &bytes[4]);
-  std::copy_n(&flow.destination.address.bytes[12], 4, &bytes[8]);
-  store_big_u32(&bytes[12], packet.tag.bits);
-  store_big_u16(&bytes[16], static_cast<std::uint16_t>(packet.payload.size()));
-  bytes[18] = packet.opens ? internal::kOpens : internal::kAcknowledges;
-  bytes[18] |= packet.finishes ? internal::kFinishes : 0;
-  store_big_u32(&bytes[20], packet.sequence);
-  store_big_u32(&bytes[24],
+  const auto length = static_cast<std::uint16_t>(packet.payload.size());
+  std::vector<std::uint8_t> bytes(platform::kHeaderBytes + length);
+  store_big_u16(&bytes[offset::kDestinationPort], flow.destination.port);
+  store_big_u16(&bytes[offset::kSourcePort], flow.source.port);
+  std::copy_n(&flow.source.address.bytes[12], 4, &bytes[offset::kSource]);
+  std::copy_n(
+    &flow.destination.address.bytes[12], 4, &bytes[offset::kDestination]);
+  store_big_u32(&bytes[offset::kEcho], packet.tag.bits);
+  store_big_u16(&bytes[offset::kLength], length);
+  bytes[offset::kFlags] = packet.opens ? flag::kOpen : flag::kAcknowledge;
+  bytes[offset::kFlags] |= packet.finishes ? flag::kFinish : 0;
+  store_big_u32(&bytes[offset::kSequence], packet.sequence);
+  store_big_u32(&bytes[offset::kAcknowledged],
                 packet.opens ? packet.openingCopy : packet.acknowledged);
   std::copy(packet.payload.begin(),
             packet.payload.end(),
-            &bytes[platform::kHeaderBytes]);
+            bytes.begin() + platform::kHeaderBytes);
   return bytes;
 }
 
+std::optional<FlowKey>
+parseReset(std::span<const std::uint8_t> datagram)
+{
+  CallerPacket packet;
+  const bool isPacket =
+    platform::PacketHeader::parse(datagram, packet) == PacketFault::none;
+  const bool isReset = isPacket && packet.resets && !packet.opens &&
+                       !packet.finishes && packet.payload.empty();
+  if (!isReset) {
+    return std::nullopt;
+  }
+  std::swap(packet.flow.source, packet.flow.destination);
+  return packet.flow;
+}
+
 }
--- a/standin/FabricPacket.h
+++ b/standin/FabricPacket.h
@@ -3,6 +3,8 @@
 
 #include <Tagging>
 
+#include <optional>
+#include <span>
 #include <vector>
 
 namespace buckthornwing::standin {
@@ -11,6 +13,12 @@
 std::vector<std::uint8_t>
 encodeCallerPacket(const CallerPacket& packet);
 
+/// \brief Decodes an instance's reset of a flow.
+/// \returns the flow, its source being the caller; nothing if the datagram is
+/// no such reset
+std::optional<FlowKey>
+parseReset(std::span<const std::uint8_t> datagram);
+
 }
 
 #endif
