Logic that stood twice, and names that were metaphors

Found by reading the change as a newcomer: both codecs converted a member's id, zone and address by themselves (WireMember.h now); the refusal that depends on the view's age stood three times in SteeringController; four metrics by kind were four loops; noteContact and requestStop took a time that nobody read; hearsay, bury and story were words of our own for gossip, markDead and trace. Thrift code generated anew: names only, the wire is the same.

--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -2,6 +2,7 @@
 
 #include "../Core/Hash.h"
 #include "../Peer/CompactCodec.h"
+#include "../Peer/WireMember.h"
 #include "ViewWire.h"
 #include "generated/fleet_types.h"
 
@@ -16,9 +17,7 @@
 toWire(const FleetMember& member)
 {
   fleetwire::Member out;
-  out.id = member.id;
-  out.zone = member.zone;
-  out.address = formatEndpoint(member.address);
+  writeMember(member, out);
   out.incarnation = static_cast<std::int64_t>(member.incarnation);
   out.stopping = member.stopping;
   return out;
@@ -27,13 +26,9 @@
 bool
 fromWire(const fleetwire::Member& in, FleetMember& out)
 {
-  const auto address = parseEndpoint(in.address);
-  if (!address) {
+  if (!readMember(in, out)) {
     return false;
   }
-  out.id = in.id;
-  out.zone = in.zone;
-  out.address = *address;
   out.incarnation = static_cast<std::uint64_t>(in.incarnation);
   out.stopping = in.stopping;
   return true;
@@ -74,11 +69,11 @@
   {
     fleetwire::Heartbeat heartbeat;
     heartbeat.view = toWire(body.view);
-    for (const MemberHearsay& known : body.members) {
-      fleetwire::Hearsay hearsay;
-      hearsay.member = toWire(known.member);
-      hearsay.heardAgoMs = toWireMs(known.heardAgo);
-      heartbeat.members.push_back(std::move(hearsay));
+    for (const GossipedMember& known : body.members) {
+      fleetwire::Gossip gossip;
+      gossip.member = toWire(known.member);
+      gossip.heardAgoMs = toWireMs(known.heardAgo);
+      heartbeat.members.push_back(std::move(gossip));
     }
     for (const TargetReport& report : body.reports) {
       heartbeat.reports.push_back(toWire(report));
@@ -119,12 +114,12 @@
 readHeartbeat(const fleetwire::Heartbeat& in, FleetHeartbeat& out)
 {
   out.view = fromWire(in.view);
-  for (const fleetwire::Hearsay& hearsay : in.members) {
-    MemberHearsay known;
-    if (!fromWire(hearsay.member, known.member)) {
+  for (const fleetwire::Gossip& gossip : in.members) {
+    GossipedMember known;
+    if (!fromWire(gossip.member, known.member)) {
       return false;
     }
-    known.heardAgo.ms = std::max(hearsay.heardAgoMs, 0);
+    known.heardAgo.ms = std::max(gossip.heardAgoMs, 0);
     out.members.push_back(std::move(known));
   }
   for (const fleetwire::TargetReport& report : in.reports) {
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -26,8 +26,8 @@
 constexpr MilliDuration kLongestDelay{ 1000 };
 /// \brief Who knows for so long that peers have newer views reads the store.
 constexpr MilliDuration kLongestBehind{ 1000 };
-constexpr std::size_t kMembersTold = 8;
-constexpr std::size_t kReportsTold = 40;
+constexpr std::size_t kMembersSent = 8;
+constexpr std::size_t kReportsSent = 40;
 /// \brief A peer's report counts for so long.
 constexpr MilliDuration kReportLife{ 2500 };
 /// \brief A view older than this makes more instances read the store.
@@ -77,7 +77,7 @@
     if (load.flows == 0 && load.busy == 0 && !isDead) {
       continue;
     }
-    if (reports.size() == internal::kReportsTold) {
+    if (reports.size() == internal::kReportsSent) {
       this->nextReport = slot;
       break;
     }
@@ -106,7 +106,7 @@
     std::swap(beat.members[i],
               beat.members[i + this->board.random.below(rest)]);
   }
-  beat.members.resize(std::min(beat.members.size(), internal::kMembersTold));
+  beat.members.resize(std::min(beat.members.size(), internal::kMembersSent));
   beat.reports = this->nextReports(now);
   return beat;
 }
@@ -118,7 +118,7 @@
 }
 
 void
-FleetController::tellMemberChanges(MilliTime now)
+FleetController::reportMemberChanges(MilliTime now)
 {
   for (const MemberChange& change : this->members.takeChanges(now)) {
     this->board.events.push_back(
@@ -148,7 +148,7 @@
       this->sendHeartbeat(peer->member.address, now);
     }
     this->sumReports(now);
-    this->tellMemberChanges(now);
+    this->reportMemberChanges(now);
   }
   if (now >= this->nextFarBeat) {
     this->nextFarBeat = now + internal::kFarBeatPeriod;
@@ -305,7 +305,7 @@
 {
   KnownMember& member = this->members.all()[sender.address];
   member.view = body.view;
-  for (const MemberHearsay& other : body.members) {
+  for (const GossipedMember& other : body.members) {
     this->members.hearOf(other, now);
   }
   this->takeReports(member, body, now);
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -100,7 +100,7 @@
   ViewVersions ownView(MilliTime now) const;
   FleetHeartbeat heartbeat(MilliTime now);
   std::vector<TargetReport> nextReports(MilliTime now);
-  void tellMemberChanges(MilliTime now);
+  void reportMemberChanges(MilliTime now);
   void sendHeartbeat(const Endpoint& to, MilliTime now);
   void sendWindow(const Endpoint& to,
                   const std::string& encoded,
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -35,10 +35,10 @@
 }
 
 void
-FleetMembers::hearOf(const MemberHearsay& hearsay, MilliTime now)
+FleetMembers::hearOf(const GossipedMember& gossip, MilliTime now)
 {
-  const FleetMember& member = hearsay.member;
-  const MilliTime heardAt{ now.ms - hearsay.heardAgo.ms };
+  const FleetMember& member = gossip.member;
+  const MilliTime heardAt{ now.ms - gossip.heardAgo.ms };
   if (member.address == this->self.address ||
       now - heardAt > internal::kForgetAfter) {
     return;
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -34,7 +34,7 @@
   bool isLive = false;
 };
 
-/// \brief The peers of an instance, found through seeds and spread by hearsay.
+/// \brief The peers of an instance, found through seeds and spread by gossip.
 class FleetMembers
 {
 public:
@@ -51,7 +51,7 @@
   KnownMember* hear(const FleetMember& sender, MilliTime now);
 
   /// \brief Notes what a peer says of a member.
-  void hearOf(const MemberHearsay& hearsay, MilliTime now);
+  void hearOf(const GossipedMember& gossip, MilliTime now);
 
   /// \brief Forgets members that were silent for long.
   void forgetSilent(MilliTime now);
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -47,7 +47,7 @@
 };
 
 /// \brief A member that the sender knows.
-struct MemberHearsay
+struct GossipedMember
 {
   FleetMember member;
   MilliDuration heardAgo{}; ///< since anyone heard it
@@ -57,7 +57,7 @@
 struct FleetHeartbeat
 {
   ViewVersions view;
-  std::vector<MemberHearsay> members; ///< a sample of those it knows
+  std::vector<GossipedMember> members; ///< a sample of those it knows
   std::vector<TargetReport> reports;
 };
 
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -11,7 +11,7 @@
 }
 
 // A member that the sender knows, and when it was last heard by anyone.
-struct Hearsay {
+struct Gossip {
   1: Member member
   2: i32 heardAgoMs
 }
@@ -36,7 +36,7 @@
 
 struct Heartbeat {
   1: ViewVersions view
-  2: list<Hearsay> members
+  2: list<Gossip> members
   3: list<TargetReport> reports
 }
 
--- a/buckthornwing/src/Io/RequestStory.cpp
+++ b/buckthornwing/src/Io/RequestTrace.cpp
@@ -1,4 +1,4 @@
-#include "RequestStory.h"
+#include "RequestTrace.h"
 
 #include <algorithm>
 #include <array>
@@ -107,10 +107,10 @@
            kCommonEvents.end();
 }
 
-StoryLine
+TraceLine
 describe(const json::object& line)
 {
-  StoryLine told{ timeOf(line),
+  TraceLine told{ timeOf(line),
                   std::string(textOf(line, "instance")),
                   std::string(textOf(line, "event")),
                   {} };
@@ -130,10 +130,10 @@
 
 }
 
-std::vector<StoryLine>
-tellRequest(std::istream& log, std::string_view requestId)
+std::vector<TraceLine>
+traceRequest(std::istream& log, std::string_view requestId)
 {
-  std::vector<StoryLine> lines;
+  std::vector<TraceLine> lines;
   const internal::Subject subject = internal::findSubject(log, requestId);
   if (subject.flow.empty()) {
     return lines;
@@ -145,7 +145,7 @@
   });
   std::stable_sort(lines.begin(),
                    lines.end(),
-                   [](const StoryLine& left, const StoryLine& right) {
+                   [](const TraceLine& left, const TraceLine& right) {
                      return left.timeMs < right.timeMs;
                    });
   return lines;
--- a/buckthornwing/src/Io/RequestStory.h
+++ b/buckthornwing/src/Io/RequestTrace.h
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNWING_REQUEST_STORY_H
-#define BUCKTHORNWING_REQUEST_STORY_H
+#ifndef BUCKTHORNWING_REQUEST_TRACE_H
+#define BUCKTHORNWING_REQUEST_TRACE_H
 
 #include <cstdint>
 #include <iosfwd>
@@ -10,7 +10,7 @@
 namespace buckthornwing {
 
 /// \brief A log line that tells about a request.
-struct StoryLine
+struct TraceLine
 {
   std::int64_t timeMs = 0; ///< wall clock
   std::string instance;
@@ -24,8 +24,8 @@
 /// several instances may be mixed.
 /// \param log read twice, from its start
 /// \returns the lines by time; none if no line names the request
-std::vector<StoryLine>
-tellRequest(std::istream& log, std::string_view requestId);
+std::vector<TraceLine>
+traceRequest(std::istream& log, std::string_view requestId);
 
 }
 
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -153,14 +153,14 @@
 }
 
 void
-TagLog::tellSuppressed()
+TagLog::reportSuppressed()
 {
   const std::uint64_t count =
-    this->suppressedLines + this->log.lost() - this->toldSuppressed;
+    this->suppressedLines + this->log.lost() - this->reportedSuppressed;
   if (count == 0) {
     return;
   }
-  this->toldSuppressed += count;
+  this->reportedSuppressed += count;
   this->note("lines_left_out", std::to_string(count));
 }
 
--- a/buckthornwing/src/Io/TagLog.h
+++ b/buckthornwing/src/Io/TagLog.h
@@ -30,7 +30,7 @@
   /// \brief Logs a step in the process's life.
   void note(std::string_view event, std::string_view text);
   /// \brief Tells how many lines were left out since the last call.
-  void tellSuppressed();
+  void reportSuppressed();
 
   std::uint64_t suppressed() const { return this->suppressedLines; }
 
@@ -45,7 +45,7 @@
   std::array<TokenBucket, 2 * kSteeringReasonCount> budgets;
   TokenBucket changeBudget;
   std::uint64_t suppressedLines = 0;
-  std::uint64_t toldSuppressed = 0;
+  std::uint64_t reportedSuppressed = 0;
 
   bool isWanted(const CallerPacket& packet,
                 const SteeringDecision& decision,
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -4,41 +4,59 @@
 #include "MetricsWriter.h"
 
 #include <boost/json.hpp>
+#include <span>
 
 namespace buckthornwing {
 namespace internal {
 
+/// \brief Writes one sample for each kind.
+/// \param nameOf names a kind by its index
+template<typename Counts, typename NameOf>
 void
-writeDecisions(const TagCounters& counters, MetricsWriter& writer)
+writeByKind(const char* metric,
+            const char* help,
+            const char* kind,
+            const Counts& counts,
+            NameOf nameOf,
+            MetricsWriter& writer)
 {
-  writer.family("decisions_total", "counter", "Packets, by outcome");
-  for (std::size_t i = 0; i < counters.outcomes.size(); ++i) {
-    const auto outcome = static_cast<SteeringOutcome>(i);
-    writer.sample("decisions_total",
-                  counters.outcomes[i],
-                  label("outcome", steeringOutcomeName(outcome)));
-  }
-  writer.family("decision_reasons_total", "counter", "Packets, by reason");
-  for (std::size_t i = 0; i < counters.decisions.size(); ++i) {
-    const auto reason = static_cast<SteeringReason>(i);
-    writer.sample("decision_reasons_total",
-                  counters.decisions[i],
-                  label("reason", steeringReasonName(reason)));
+  writer.family(metric, "counter", help);
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    writer.sample(metric, counts[i], label(kind, nameOf(i)));
   }
 }
 
+void
+writeDecisions(const TagCounters& counters, MetricsWriter& writer)
+{
+  writeByKind(
+    "decisions_total",
+    "Packets, by outcome",
+    "outcome",
+    counters.outcomes,
+    [](auto i) { return steeringOutcomeName(static_cast<SteeringOutcome>(i)); },
+    writer);
+  writeByKind(
+    "decision_reasons_total",
+    "Packets, by reason",
+    "reason",
+    counters.decisions,
+    [](auto i) { return steeringReasonName(static_cast<SteeringReason>(i)); },
+    writer);
+}
+
 void
 writeHost(const TagHostCounters& host, MetricsWriter& writer)
 {
   writer.single(
     "packets_total", "counter", "Datagrams of the fabric", host.packets);
-  writer.family(
-    "packet_faults_total", "counter", "Datagrams that are no packet");
-  for (std::size_t i = 1; i < host.faults.size(); ++i) {
-    writer.sample("packet_faults_total",
-                  host.faults[i],
-                  label("fault", packetFaultName(static_cast<PacketFault>(i))));
-  }
+  writeByKind(
+    "packet_faults_total",
+    "Datagrams that are no packet",
+    "fault",
+    std::span(host.faults).subspan(1),
+    [](auto i) { return packetFaultName(static_cast<PacketFault>(i + 1)); },
+    writer);
   writer.single("packets_not_held_total",
                 "counter",
                 "Packets dropped because too many wait for a view",
@@ -47,13 +65,13 @@
                 "counter",
                 "Datagrams that the kernel did not take",
                 host.sendsLost);
-  writer.family("peer_faults_total", "counter", "Peer datagrams not taken");
-  for (std::size_t i = 1; i < host.peerFaults.size(); ++i) {
-    const auto fault = static_cast<PeerFault>(i);
-    writer.sample("peer_faults_total",
-                  host.peerFaults[i],
-                  label("fault", peerFaultName(fault)));
-  }
+  writeByKind(
+    "peer_faults_total",
+    "Peer datagrams not taken",
+    "fault",
+    std::span(host.peerFaults).subspan(1),
+    [](auto i) { return peerFaultName(static_cast<PeerFault>(i + 1)); },
+    writer);
   writer.single("peer_bytes_sent_total",
                 "counter",
                 "Bytes sent to other instances",
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -123,7 +123,7 @@
       return;
     }
     this->log.note("stop_requested", "not ready from now on");
-    this->engine.requestStop(bootTime());
+    this->engine.requestStop();
     this->stopAt = bootTime() + this->settings.stopWithin;
   }
 
@@ -314,7 +314,7 @@
     const MilliTime now = bootTime();
     this->engine.tick(now);
     this->afterInput();
-    this->log.tellSuppressed();
+    this->log.reportSuppressed();
     if (this->mayStop(now)) {
       this->finishStop();
       return;
--- a/buckthornwing/src/Membership/MembershipController.cpp
+++ b/buckthornwing/src/Membership/MembershipController.cpp
@@ -257,7 +257,7 @@
   const bool worse =
     update.liveness == Liveness::suspect || update.liveness == Liveness::dead;
   if (newer && !worse) {
-    // Hearsay supplies the address; only the member itself makes it count.
+    // Gossip supplies the address; only the member itself makes it count.
     member.address = update.address;
     member.zone = update.zone;
     return;
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -214,9 +214,10 @@
   const bool closes = packet.resets || packet.finishes;
   // An acknowledgement for a flow opened before this instance started may
   // trail its end.
-  const bool tellsNothing = !packet.opens && !closes && packet.payload.empty();
+  const bool carriesNothing =
+    !packet.opens && !closes && packet.payload.empty();
   if (isNew &&
-      (tellsNothing || this->flows.size() >= internal::kMostTrackedFlows)) {
+      (carriesNothing || this->flows.size() >= internal::kMostTrackedFlows)) {
     return Observation::nothing;
   }
   if (closes) {
--- a/buckthornwing/src/Peer/PeerCodec.cpp
+++ b/buckthornwing/src/Peer/PeerCodec.cpp
@@ -1,6 +1,7 @@
 #include "PeerCodec.h"
 
 #include "CompactCodec.h"
+#include "WireMember.h"
 #include "generated/peer_types.h"
 
 #include <cstring>
@@ -51,9 +52,7 @@
 toWire(const MemberUpdate& update)
 {
   wire::MemberUpdate out;
-  out.id = update.id;
-  out.zone = update.zone;
-  out.address = formatEndpoint(update.address);
+  writeMember(update, out);
   out.liveness = static_cast<std::int8_t>(update.liveness);
   out.phase = static_cast<std::int8_t>(update.phase);
   out.incarnation = toSigned(update.incarnation);
@@ -63,13 +62,9 @@
 bool
 fromWire(const wire::MemberUpdate& in, MemberUpdate& out)
 {
-  const auto address = parseEndpoint(in.address);
-  if (!address) {
+  if (!readMember(in, out)) {
     return false;
   }
-  out.id = in.id;
-  out.zone = in.zone;
-  out.address = *address;
   out.incarnation = toUnsigned(in.incarnation);
   return readEnum(in.liveness, Liveness::dead, out.liveness) &&
          readEnum(in.phase, Phase::stopped, out.phase);
--- /dev/null
+++ b/buckthornwing/src/Peer/WireMember.h
@@ -0,0 +1,36 @@
+#ifndef BUCKTHORNWING_WIRE_MEMBER_H
+#define BUCKTHORNWING_WIRE_MEMBER_H
+
+#include "../Core/IpAddress.h"
+
+namespace buckthornwing::internal {
+
+/// \brief Writes what every generated struct of a member has in common.
+template<typename Member, typename Wire>
+void
+writeMember(const Member& member, Wire& out)
+{
+  out.id = member.id;
+  out.zone = member.zone;
+  out.address = formatEndpoint(member.address);
+}
+
+/// \brief Reads it back.
+/// \returns whether the address is one
+template<typename Member, typename Wire>
+bool
+readMember(const Wire& in, Member& out)
+{
+  const auto address = parseEndpoint(in.address);
+  if (!address) {
+    return false;
+  }
+  out.id = in.id;
+  out.zone = in.zone;
+  out.address = *address;
+  return true;
+}
+
+}
+
+#endif
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -10,7 +10,7 @@
 constexpr std::uint8_t kSilentProbes = 2;
 constexpr MilliDuration kDeadProbePeriod{ 1000 };
 /// \brief What a peer found keeps new flows away for so long.
-constexpr MilliDuration kHearsayLife{ 1500 };
+constexpr MilliDuration kPeerVerdictLife{ 1500 };
 /// \brief A verdict counts only if this process ran all the time.
 constexpr MilliDuration kMostTickGap{ 400 };
 
@@ -58,7 +58,7 @@
   if (hasFlows) {
     this->suspect(target, now, "a peer found it dead");
   } else if (health.state == HealthState::trusted) {
-    health.avoidUntil = now + internal::kHearsayLife;
+    health.avoidUntil = now + internal::kPeerVerdictLife;
   }
 }
 
@@ -95,7 +95,7 @@
 }
 
 void
-HealthController::bury(TargetSlot target, MilliTime now)
+HealthController::markDead(TargetSlot target, MilliTime now)
 {
   TargetHealth& health = this->board.healthFor(target);
   if (health.state == HealthState::dead) {
@@ -149,7 +149,7 @@
   TargetHealth& health = this->board.healthFor(target);
   ++health.failedProbes;
   if (result != ProbeResult::silent) {
-    this->bury(target, now);
+    this->markDead(target, now);
     return;
   }
   if (health.failedProbes == 1) {
@@ -158,7 +158,7 @@
   }
   const bool isControlled = health.failedProbes >= internal::kSilentProbes;
   if (isControlled) {
-    this->bury(target, now);
+    this->markDead(target, now);
   }
 }
 
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -56,7 +56,7 @@
 
   void suspect(TargetSlot target, MilliTime now, const char* cause);
   void trust(TargetSlot target, MilliTime now);
-  void bury(TargetSlot target, MilliTime now);
+  void markDead(TargetSlot target, MilliTime now);
   TargetSlot chooseControl(TargetSlot target) const;
   void askForControl(TargetSlot target, MilliTime now);
   void onControlResult(bool isAlive, MilliTime now);
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -83,10 +83,7 @@
     return decision;
   }
   if (decision.route == nullptr) {
-    decision.reason = SteeringReason::noRoute;
-    decision.outcome =
-      this->isFresh(now) ? SteeringOutcome::reset : SteeringOutcome::drop;
-    return decision;
+    return this->refuse(decision, SteeringReason::noRoute, now);
   }
   const TrackedFlow* known = this->board.observer.find(id);
   // A second target would only get the copies of a flow that the first one
@@ -123,10 +120,7 @@
       this->board.tags.mint(this->board.registry, packet.flow, decision.target);
   }
   if (decision.tag.bits == 0) {
-    decision.reason = SteeringReason::noTarget;
-    decision.outcome =
-      this->isFresh(now) ? SteeringOutcome::reset : SteeringOutcome::drop;
-    return decision;
+    return this->refuse(decision, SteeringReason::noTarget, now);
   }
   if (this->board.settings.policy.paced &&
       this->pace.shouldDrop(this->board, decision.target, packet.openingCopy)) {
@@ -147,10 +141,7 @@
   SteeringDecision decision;
   decision.route = this->board.routes.find(packet.flow.destination);
   if (decision.route == nullptr) {
-    decision.reason = SteeringReason::noRoute;
-    decision.outcome =
-      this->isFresh(now) ? SteeringOutcome::reset : SteeringOutcome::drop;
-    return decision;
+    return this->refuse(decision, SteeringReason::noRoute, now);
   }
   decision.tag = packet.tag;
   if (packet.tag.bits == 0) {
@@ -161,11 +152,9 @@
     this->board.tags.find(this->board.registry, packet.tag, packet.flow);
   if (decision.target == kNoTargetSlot) {
     decision.reason = SteeringReason::unknownTag;
-    const bool isRepeatable = decision.route->kind != RouteKind::nonIdempotent;
-    decision.outcome =
-      this->unknownTargets.isGoneForGood(this->board, id, isRepeatable, now)
-        ? SteeringOutcome::reset
-        : SteeringOutcome::hold;
+    const bool hasLeft = this->unknownTargets.isGoneForGood(
+      this->board, id, isRepeatable(decision.route->kind), now);
+    decision.outcome = hasLeft ? SteeringOutcome::reset : SteeringOutcome::hold;
     return decision;
   }
   if (this->board.registry.at(decision.target).presence ==
@@ -203,6 +192,17 @@
   return decision;
 }
 
+SteeringDecision
+SteeringController::refuse(SteeringDecision decision,
+                           SteeringReason reason,
+                           MilliTime now) const
+{
+  decision.reason = reason;
+  decision.outcome =
+    this->isFresh(now) ? SteeringOutcome::reset : SteeringOutcome::drop;
+  return decision;
+}
+
 bool
 SteeringController::isFresh(MilliTime now) const
 {
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -52,6 +52,11 @@
   SteeringDecision decideForDead(const CallerPacket& packet,
                                  FlowId id,
                                  SteeringDecision decision);
+  /// \brief Refuses what a fresh view does not allow; drops what an old one
+  /// does not know.
+  SteeringDecision refuse(SteeringDecision decision,
+                          SteeringReason reason,
+                          MilliTime now) const;
   bool isFresh(MilliTime now) const;
   void observe(const CallerPacket& packet,
                FlowId id,
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -28,13 +28,12 @@
 }
 
 void
-TagEngine::noteContact(MilliTime now)
+TagEngine::noteContact()
 {
   if (this->storeLost) {
     this->storeLost = false;
     this->state.events.push_back({ TagEventKind::storeRegained, {}, 0, 0, {} });
   }
-  (void)now;
 }
 
 void
@@ -43,7 +42,7 @@
                            MilliTime readAt,
                            MilliTime now)
 {
-  this->noteContact(now);
+  this->noteContact();
   this->view.onSnapshot(asOf, listed, now);
   this->state.targetsConfirmedAt = now;
   this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
@@ -56,7 +55,7 @@
                            MilliTime readAt,
                            MilliTime now)
 {
-  this->noteContact(now);
+  this->noteContact();
   this->view.onChanges(asOf, changes, now);
   this->state.targetsConfirmedAt = now;
   this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
@@ -74,7 +73,7 @@
 void
 TagEngine::onRoutesConfirmed(std::uint64_t asOf, MilliTime now)
 {
-  this->noteContact(now);
+  this->noteContact();
   this->state.routesRevision = std::max(this->state.routesRevision, asOf);
   this->state.routesConfirmedAt = now;
   this->fleet.pushView(now);
@@ -121,7 +120,7 @@
 }
 
 void
-TagEngine::requestStop(MilliTime /*now*/)
+TagEngine::requestStop()
 {
   this->state.stopping = true;
   this->fleet.setStopping();
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -44,7 +44,7 @@
   void onFleetMessage(const FleetMessage& message, MilliTime now);
 
   void tick(MilliTime now);
-  void requestStop(MilliTime now);
+  void requestStop();
 
   /// \returns whether the fabric may hand over packets.
   bool ready() const { return this->state.hasView() && !this->state.stopping; }
@@ -81,7 +81,7 @@
   MilliTime lastSweep{};
   bool storeLost = false;
 
-  void noteContact(MilliTime now);
+  void noteContact();
 };
 
 }
--- a/bwctl/TraceCommand.cpp
+++ b/bwctl/TraceCommand.cpp
@@ -1,7 +1,7 @@
 #include "Commands.h"
 
 #include <src/Io/Error.h>
-#include <src/Io/RequestStory.h>
+#include <src/Io/RequestTrace.h>
 
 #include <boost/json.hpp>
 #include <boost/leaf.hpp>
@@ -12,19 +12,19 @@
 namespace {
 
 void
-printForPeople(const std::vector<StoryLine>& lines)
+printForPeople(const std::vector<TraceLine>& lines)
 {
-  for (const StoryLine& line : lines) {
+  for (const TraceLine& line : lines) {
     std::cout << line.timeMs - lines.front().timeMs << " ms " << line.instance
               << ' ' << line.event << ' ' << line.detail << '\n';
   }
 }
 
 void
-printForPrograms(const std::vector<StoryLine>& lines)
+printForPrograms(const std::vector<TraceLine>& lines)
 {
   boost::json::array rows;
-  for (const StoryLine& line : lines) {
+  for (const TraceLine& line : lines) {
     rows.push_back({ { "time_ms", line.timeMs },
                      { "instance", line.instance },
                      { "event", line.event },
@@ -44,7 +44,7 @@
       Error{ "read log", arguments.log, "no readable file" });
   }
   const std::string& requestId = arguments.positional.front();
-  const auto lines = tellRequest(log, requestId);
+  const auto lines = traceRequest(log, requestId);
   if (lines.empty()) {
     std::cerr << "bwctl: no line of " << arguments.log << " names request "
               << requestId << '\n';
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -26,7 +26,7 @@
   bwctl watch ADDRESS:PORT [--count N]
       shows it again every second
   bwctl trace --log FILE REQUEST-ID
-      tells a request's story from the log of one or more instances: each
+      traces a request through the log of one or more instances: each
       decision on its flow, and what was believed of its targets meanwhile
 
 Each command takes --json for output that programs read.
--- a/test/tag/story.cpp
+++ b/test/tag/trace.cpp
@@ -28,10 +28,10 @@
 
 }
 
-Test(story, a_request_s_story_is_its_flow_its_targets_and_the_views)
+Test(trace, of_a_request_is_its_flow_its_targets_and_the_views)
 {
   std::istringstream log(kLog);
-  const auto lines = tellRequest(log, "q7");
+  const auto lines = traceRequest(log, "q7");
   cr_assert_eq(lines.size(), 5);
   cr_assert_eq(lines[0].timeMs, 4000);
   cr_assert_eq(lines[1].detail,
@@ -42,8 +42,8 @@
   cr_assert_eq(lines[4].event, "reset");
 }
 
-Test(story, an_unknown_request_has_none)
+Test(trace, an_unknown_request_has_none)
 {
   std::istringstream log(kLog);
-  cr_assert(tellRequest(log, "q9").empty());
+  cr_assert(traceRequest(log, "q9").empty());
 }
