--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// \brief Measures decisions before a fabric that returns flow tags, beside
-/// the naive choice; the owners' way is measured in bench.cpp.
+/// the naive choice. Decisions by owners are in bench.cpp.
 
 #include "Tagged.h"
 
