An answer of the store has deadlines on its progress, not on the whole

Cause: the listing of a large configuration over a link of 2 Mbit/s takes longer than the 700 ms that one call had in all.

The emulator's stream proxy can share a link of a given rate.

--- a/buckthornwing/src/Io/HttpClient.cpp
+++ b/buckthornwing/src/Io/HttpClient.cpp
@@ -1,8 +1,10 @@
 #include "HttpClient.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <chrono>
 #include <memory>
 
 namespace buckthornwing {
@@ -17,24 +19,25 @@
 {
 public:
   HttpExchange(boost::asio::io_context& context,
-               std::size_t mostBytes,
+               const HttpLimits& limits,
                std::function<void(HttpResult)> done)
     : stream(context)
+    , limits(limits)
     , done(std::move(done))
   {
-    this->parser.body_limit(mostBytes);
+    this->parser.body_limit(limits.mostBytes);
   }
 
-  void start(const Endpoint& server,
-             const std::string& path,
-             MilliDuration timeout)
+  void start(const Endpoint& server, const std::string& path)
   {
     this->request.method(http::verb::get);
     this->request.target(path);
     this->request.version(11);
     this->request.set(http::field::host, formatEndpoint(server));
     this->request.keep_alive(false);
-    this->stream.expires_after(std::chrono::milliseconds(timeout.ms));
+    this->wholeBy = Clock::now() + toChrono(this->limits.wholeWithin);
+    this->progressBy = Clock::now() + toChrono(this->limits.answerWithin);
+    this->expireNext();
     const auto address =
       boost::asio::ip::make_address(formatIpAddress(server.address));
     this->stream.async_connect(
@@ -45,12 +48,30 @@
   }
 
 private:
+  using Clock = std::chrono::steady_clock;
+
   beast::tcp_stream stream;
+  HttpLimits limits;
   std::function<void(HttpResult)> done;
+  Clock::time_point wholeBy;
+  Clock::time_point progressBy;
+  std::size_t newBytes = 0; ///< since progressBy was set
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   beast::flat_buffer buffer;
   bool connected = false;
+  bool answered = false; ///< some bytes came back
+
+  static std::chrono::milliseconds toChrono(MilliDuration span)
+  {
+    return std::chrono::milliseconds(span.ms);
+  }
+
+  /// \brief Sets the deadline of the next step.
+  void expireNext()
+  {
+    this->stream.expires_at(std::min(this->progressBy, this->wholeBy));
+  }
 
   void fail(const char* step, const beast::error_code& code)
   {
@@ -82,21 +103,48 @@
       this->fail("send request", code);
       return;
     }
-    http::async_read(
-      this->stream,
-      this->buffer,
-      this->parser,
-      [self = this->shared_from_this()](beast::error_code error, std::size_t) {
-        self->onReceived(error);
-      });
+    this->receive();
+  }
+
+  void receive()
+  {
+    http::async_read_some(this->stream,
+                          this->buffer,
+                          this->parser,
+                          [self = this->shared_from_this()](
+                            beast::error_code error, std::size_t size) {
+                            self->onReceived(error, size);
+                          });
+  }
+
+  void noteProgress(std::size_t size)
+  {
+    const bool isFirst = !this->answered;
+    this->newBytes += size;
+    if (isFirst || this->newBytes >= kHttpProgressBytes) {
+      this->answered = true;
+      this->newBytes = 0;
+      this->progressBy = Clock::now() + toChrono(this->limits.progressWithin);
+    }
   }
 
-  void onReceived(const beast::error_code& code)
+  void onReceived(const beast::error_code& code, std::size_t size)
   {
     if (code) {
       this->fail("receive answer", code);
       return;
     }
+    if (!this->parser.is_done()) {
+      this->noteProgress(size);
+      this->expireNext();
+      this->receive();
+      return;
+    }
+    this->finish();
+  }
+
+  void finish()
+  {
     auto& response = this->parser.get();
     HttpResult result;
     result.status = response.result_int();
@@ -111,6 +159,17 @@
 
 }
 
+void
+httpGet(boost::asio::io_context& context,
+        const Endpoint& server,
+        const std::string& path,
+        const HttpLimits& limits,
+        std::function<void(HttpResult)> done)
+{
+  std::make_shared<internal::HttpExchange>(context, limits, std::move(done))
+    ->start(server, path);
+}
+
 void
 httpGet(boost::asio::io_context& context,
         const Endpoint& server,
@@ -119,8 +178,11 @@
         std::size_t mostBytes,
         std::function<void(HttpResult)> done)
 {
-  std::make_shared<internal::HttpExchange>(context, mostBytes, std::move(done))
-    ->start(server, path, timeout);
+  httpGet(context,
+          server,
+          path,
+          HttpLimits{ timeout, timeout, timeout, mostBytes },
+          std::move(done));
 }
 
 }
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -22,8 +22,28 @@
   std::string failure;  ///< the step and cause if there was no answer
 };
 
+/// \brief Bytes of an answer that count as progress. A server that sends fewer
+/// in HttpLimits::progressWithin is as good as silent.
+inline constexpr std::size_t kHttpProgressBytes = 1024;
+
+/// \brief Bounds of one GET exchange.
+struct HttpLimits
+{
+  MilliDuration answerWithin{};   ///< from the start to the first bytes back
+  MilliDuration progressWithin{}; ///< for each further kHttpProgressBytes
+  MilliDuration wholeWithin{};    ///< for everything
+  std::size_t mostBytes = 0;      ///< of the body; a larger one is a failure
+};
+
 /// \brief Starts a GET request; \a done is called once, later.
-/// \param timeout for the whole exchange
+void
+httpGet(boost::asio::io_context& context,
+        const Endpoint& server,
+        const std::string& path,
+        const HttpLimits& limits,
+        std::function<void(HttpResult)> done);
+
+/// \brief Starts a GET request with one timeout for the whole exchange.
 /// \param mostBytes of the answer's body; a larger one is a failure
 void
 httpGet(boost::asio::io_context& context,
--- a/emulator/StreamProxy.cpp
+++ b/emulator/StreamProxy.cpp
@@ -1,5 +1,6 @@
 #include "StreamProxy.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -70,6 +71,15 @@
   return {};
 }
 
+Endpoint
+StreamProxy::localEndpoint() const
+{
+  boost::system::error_code code;
+  const auto endpoint = this->acceptor.local_endpoint(code);
+  const auto address = parseIpAddress(endpoint.address().to_string());
+  return Endpoint{ address.value_or(IpAddress{}), endpoint.port() };
+}
+
 void
 StreamProxy::setFault(StreamFault newFault)
 {
@@ -143,12 +153,19 @@
     this->pass(link, isRequest);
     return;
   }
-  if (this->fault != StreamFault::delayed) {
+  std::chrono::steady_clock::duration delay{};
+  if (this->fault == StreamFault::delayed) {
+    delay += internal::kDelay;
+  }
+  if (!isRequest && this->bitsPerSecond > 0) {
+    delay += this->linkDelay(size);
+  }
+  if (delay.count() == 0) {
     this->write(link, isRequest, size);
     return;
   }
   auto& timer = isRequest ? link->requestTimer : link->answerTimer;
-  timer.expires_after(internal::kDelay);
+  timer.expires_after(delay);
   timer.async_wait(
     [this, link, isRequest, size](const boost::system::error_code& code) {
       if (!code) {
@@ -157,6 +174,18 @@
     });
 }
 
+std::chrono::steady_clock::duration
+StreamProxy::linkDelay(std::size_t size)
+{
+  constexpr std::int64_t kBitsPerByte = 8;
+  const auto now = std::chrono::steady_clock::now();
+  const std::int64_t bits = static_cast<std::int64_t>(size) * kBitsPerByte;
+  const std::chrono::nanoseconds crossing(bits * std::nano::den /
+                                          this->bitsPerSecond);
+  this->linkFreeAt = std::max(this->linkFreeAt, now) + crossing;
+  return this->linkFreeAt - now;
+}
+
 void
 StreamProxy::write(const std::shared_ptr<Link>& link,
                    bool isRequest,
--- a/emulator/StreamProxy.h
+++ b/emulator/StreamProxy.h
@@ -4,6 +4,7 @@
 #include "TcpPort.h"
 
 #include <boost/asio/io_context.hpp>
+#include <chrono>
 #include <memory>
 #include <vector>
 
@@ -27,10 +28,15 @@
 
   boost::leaf::result<void> open(const Endpoint& address);
 
+  Endpoint localEndpoint() const;
+
   /// \brief Silences or resets open connections too. One that lost bytes
   /// stays silent after the fault.
   void setFault(StreamFault newFault);
 
+  /// \brief Lets answers of all connections share a link; 0 is unlimited.
+  void setBitsPerSecond(std::int64_t newRate) { this->bitsPerSecond = newRate; }
+
 private:
   struct Link;
 
@@ -38,6 +44,8 @@
   boost::asio::ip::tcp::acceptor acceptor;
   Endpoint server;
   StreamFault fault = StreamFault::none;
+  std::int64_t bitsPerSecond = 0;
+  std::chrono::steady_clock::time_point linkFreeAt{};
   std::vector<std::weak_ptr<Link>> links;
 
   void accept();
@@ -48,6 +56,8 @@
   void write(const std::shared_ptr<Link>& link,
              bool isRequest,
              std::size_t size);
+  /// \returns how long a piece waits for the link and takes to cross it.
+  std::chrono::steady_clock::duration linkDelay(std::size_t size);
 };
 
 }
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -8,6 +8,8 @@
 #include <criterion/criterion.h>
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/leaf.hpp>
 
 #include <chrono>
@@ -232,3 +234,121 @@
   cr_assert(deliver({ .ack = true }, 0));
   cr_assert_geq(platform.calls, 3);
 }
+
+namespace {
+
+/// \brief A server that promises a long answer and sends it byte by byte.
+struct TricklingServer
+{
+  using tcp = boost::asio::ip::tcp;
+
+  boost::asio::io_context& context;
+  tcp::acceptor acceptor;
+  tcp::socket socket;
+  boost::asio::steady_timer timer;
+  std::chrono::milliseconds pause;
+  std::size_t pieceBytes;
+
+  TricklingServer(boost::asio::io_context& context,
+                  std::chrono::milliseconds pause,
+                  std::size_t pieceBytes)
+    : context(context)
+    , acceptor(context, { boost::asio::ip::make_address("127.0.0.1"), 0 })
+    , socket(context)
+    , timer(context)
+    , pause(pause)
+    , pieceBytes(pieceBytes)
+  {
+    this->acceptor.async_accept(
+      this->socket, [this](const boost::system::error_code& code) {
+        if (!code) {
+          this->send("HTTP/1.1 200 OK\r\nContent-Length: 10000\r\n\r\n");
+        }
+      });
+  }
+
+  Endpoint endpoint() const
+  {
+    Endpoint address = *parseEndpoint("127.0.0.1:1");
+    address.port = this->acceptor.local_endpoint().port();
+    return address;
+  }
+
+  void send(std::string bytes)
+  {
+    const auto kept = std::make_shared<std::string>(std::move(bytes));
+    boost::asio::async_write(
+      this->socket,
+      boost::asio::buffer(*kept),
+      [this, kept](const boost::system::error_code& code, std::size_t) {
+        if (!code) {
+          this->sendMore();
+        }
+      });
+  }
+
+  void sendMore()
+  {
+    this->timer.expires_after(this->pause);
+    this->timer.async_wait([this](const boost::system::error_code& code) {
+      if (!code) {
+        this->send(std::string(this->pieceBytes, 'x'));
+      }
+    });
+  }
+};
+
+constexpr HttpLimits kProgressLimits{ MilliDuration{ 300 },
+                                      MilliDuration{ 300 },
+                                      MilliDuration{ 20000 },
+                                      100000 };
+
+}
+
+Test(http, an_answer_that_goes_on_arriving_is_waited_for)
+{
+  boost::asio::io_context context;
+  TricklingServer server(context, std::chrono::milliseconds(100), 1024);
+  HttpResult result;
+  bool done = false;
+  httpGet(context, server.endpoint(), "/", kProgressLimits, [&](auto got) {
+    result = std::move(got);
+    done = true;
+  });
+  cr_assert(runUntil(context, [&] { return done; }));
+  cr_assert_eq(result.status, 200);
+  cr_assert_eq(result.body.size(), 10000);
+}
+
+Test(http, an_answer_byte_by_byte_is_given_up)
+{
+  boost::asio::io_context context;
+  TricklingServer server(context, std::chrono::milliseconds(10), 1);
+  HttpResult result;
+  bool done = false;
+  const auto startedAt = std::chrono::steady_clock::now();
+  httpGet(context, server.endpoint(), "/", kProgressLimits, [&](auto got) {
+    result = std::move(got);
+    done = true;
+  });
+  cr_assert(runUntil(context, [&] { return done; }));
+  cr_assert_eq(result.status, 0);
+  cr_assert(std::chrono::steady_clock::now() - startedAt <
+            std::chrono::milliseconds(1500));
+}
+
+Test(http, an_answer_that_never_ends_is_given_up)
+{
+  boost::asio::io_context context;
+  TricklingServer server(context, std::chrono::milliseconds(50), 1024);
+  HttpLimits limits = kProgressLimits;
+  limits.wholeWithin = MilliDuration{ 400 };
+  HttpResult result;
+  bool done = false;
+  httpGet(context, server.endpoint(), "/", limits, [&](auto got) {
+    result = std::move(got);
+    done = true;
+  });
+  cr_assert(runUntil(context, [&] { return done; }));
+  cr_assert_eq(result.status, 0);
+}
