Two instances read the store for the fleet; starting ones ask peers first

A zone without the store asked it with all of its instances.

Change: who reads is one decision without I/O (StoreReaders). The first live member and the first one outside of its zone read. A starting process is answered at once by a peer with a view and fetches that; it reads the store if nobody has a view within 80 ms or nobody delivers. Joining in by rank has pauses that double. A peer without a view no longer tells an age. Reports of peers are summed member by member instead of every target at every member.

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -24,16 +24,12 @@
 constexpr std::size_t kMostPushedBytes = 4800;
 /// \brief A message may wait so long at a link that is choked.
 constexpr MilliDuration kLongestDelay{ 1000 };
-/// \brief Who knows for so long that peers have newer views reads the store.
-constexpr MilliDuration kLongestBehind{ 1000 };
 constexpr std::size_t kMembersSent = 8;
 constexpr std::size_t kReportsSent = 40;
 /// \brief A peer's report counts for so long.
 constexpr MilliDuration kReportLife{ 2500 };
-/// \brief A view older than this makes more instances read the store.
-constexpr MilliDuration kOldView{ 2000 };
-/// \brief Those join in one after the other, so that the first may be enough.
-constexpr std::int64_t kJoinIntervalMs = 150;
+/// \brief Members hear no more often that the store confirmed the view.
+constexpr MilliDuration kConfirmationPeriod{ 400 };
 
 }
 
@@ -96,17 +92,10 @@
 {
   FleetHeartbeat beat;
   beat.view = this->ownView(now);
-  for (const auto& [address, known] : this->members.all()) {
-    if (this->members.isLive(known, now)) {
-      beat.members.push_back({ known.member, now - known.heardAt });
-    }
-  }
-  for (std::size_t i = 0; i + 1 < beat.members.size(); ++i) {
-    const std::size_t rest = beat.members.size() - i;
-    std::swap(beat.members[i],
-              beat.members[i + this->board.random.below(rest)]);
+  for (const KnownMember* known : this->members.sampleLive(
+         internal::kMembersSent, now, this->board.random)) {
+    beat.members.push_back({ known->member, now - known->heardAt });
   }
-  beat.members.resize(std::min(beat.members.size(), internal::kMembersSent));
   beat.reports = this->nextReports(now);
   return beat;
 }
@@ -133,6 +122,9 @@
 void
 FleetController::tick(MilliTime now)
 {
+  if (this->startedAt.ms == 0) {
+    this->startedAt = now;
+  }
   this->members.forgetSilent(now);
   this->pushView(now);
   for (IncomingTransfers* fetched :
@@ -270,21 +262,40 @@
   }
 }
 
+void
+FleetController::tellConfirmed(MilliTime now)
+{
+  if (!this->board.hasView() || now < this->nextConfirmation) {
+    return;
+  }
+  this->nextConfirmation = now + internal::kConfirmationPeriod;
+  for (const KnownMember* peer :
+       this->members.oneInEachOtherZone(now, this->board.random)) {
+    this->sendHeartbeat(peer->member.address, now);
+  }
+}
+
 bool
 FleetController::shouldReadStore(MilliTime now) const
 {
-  if (!this->board.hasView()) {
-    return true;
-  }
-  const std::size_t rank = this->members.rankInZone(now);
-  const MilliTime oldest =
+  const MilliTime confirmedAt =
     std::min(this->board.targetsConfirmedAt, this->board.routesConfirmedAt);
-  const std::int64_t delay =
-    static_cast<std::int64_t>(rank) * internal::kJoinIntervalMs;
-  const bool isBehind = this->behindSince.ms != 0 &&
-                        now - this->behindSince > internal::kLongestBehind;
-  return rank == 0 || isBehind ||
-         now - oldest > MilliDuration{ internal::kOldView.ms + delay };
+  StoreReaderSituation situation;
+  situation.hasView = this->board.hasView();
+  situation.isFetching =
+    this->fetchedTargets.isFetching() || this->fetchedRoutes.isFetching();
+  situation.sinceStart =
+    this->startedAt.ms == 0 ? MilliDuration{} : now - this->startedAt;
+  if (this->offeredAt.ms != 0) {
+    situation.sinceOffered = now - this->offeredAt;
+  }
+  situation.isReader = this->members.isReader(now);
+  situation.rankInZone = this->members.rankInZone(now);
+  situation.viewAge = now - confirmedAt;
+  if (this->behindSince.ms != 0) {
+    situation.behindFor = now - this->behindSince;
+  }
+  return buckthornwing::shouldReadStore(situation);
 }
 
 void
@@ -312,13 +323,27 @@
   this->board.registry.noteUnwell(MilliTime{ now.ms - body.view.unwellAgo.ms });
   this->confirmView(body.view, now);
   this->askIfOlder(body.view, sender.address, now);
+  this->answerStarter(body.view, sender.address, now);
+}
+
+void
+FleetController::answerStarter(const ViewVersions& peer,
+                               const Endpoint& from,
+                               MilliTime now)
+{
+  const bool isStarting = peer.targetsRevision == 0 || peer.routesVersion == 0;
+  if (isStarting && this->board.hasView()) {
+    this->sendHeartbeat(from, now);
+  }
 }
 
 void
 FleetController::confirmView(const ViewVersions& peer, MilliTime now)
 {
-  // What a peer's older or equal view was confirmed by holds for this one.
-  if (peer.targetsRevision <= this->board.registry.lastChange()) {
+  // What a peer's older or equal view was confirmed by holds for this one. A
+  // peer without a view has no age to tell.
+  if (peer.targetsRevision > 0 &&
+      peer.targetsRevision <= this->board.registry.lastChange()) {
     const MilliTime confirmedAt{ now.ms - peer.targetsAge.ms };
     this->board.targetsConfirmedAt =
       std::max(this->board.targetsConfirmedAt, confirmedAt);
@@ -326,7 +351,8 @@
     this->board.targetsCertainAt =
       std::max(this->board.targetsCertainAt, certainAt);
   }
-  if (peer.routesVersion <= this->board.routes.version()) {
+  if (peer.routesVersion > 0 &&
+      peer.routesVersion <= this->board.routes.version()) {
     this->board.routesConfirmedAt = std::max(
       this->board.routesConfirmedAt, MilliTime{ now.ms - peer.routesAge.ms });
   }
@@ -344,6 +370,10 @@
   if (isBehind && this->behindSince.ms == 0) {
     this->behindSince = now;
   }
+  if (peer.targetsRevision > 0 && peer.routesVersion > 0 &&
+      this->offeredAt.ms == 0) {
+    this->offeredAt = now;
+  }
   this->newest.targets = std::max(this->newest.targets, peer.targetsRevision);
   this->newest.routes = std::max(this->newest.routes, peer.routesVersion);
   if (targets >= this->newest.targets && routes >= this->newest.routes) {
@@ -377,29 +407,37 @@
 void
 FleetController::sumReports(MilliTime now)
 {
-  const auto targets = this->board.registry.targets();
   this->board.zonePeers = this->members.liveInZone(now);
-  for (TargetSlot slot = 0; slot < targets.size(); ++slot) {
+  const std::size_t count = this->board.registry.targets().size();
+  for (TargetSlot slot = 0; slot < count; ++slot) {
     TargetLoad& load = this->board.observer.loadFor(slot);
     load.peerFlows = 0;
     load.peerBusy = 0;
     load.flowsAtReport = load.flows;
     load.busyAtReport = load.busy;
-    if (!targets[slot].used) {
+  }
+  for (auto& [address, known] : this->members.all()) {
+    this->addReports(known, now);
+  }
+}
+
+void
+FleetController::addReports(KnownMember& member, MilliTime now)
+{
+  boost::unordered::erase_if(member.reports, [now](const auto& entry) {
+    return now - entry.second.at > internal::kReportLife;
+  });
+  for (const auto& [number, received] : member.reports) {
+    const TargetSlot slot = this->board.registry.findNumber(number);
+    if (slot == kNoTargetSlot) {
       continue;
     }
-    for (const auto& [address, known] : this->members.all()) {
-      const auto found = known.reports.find(targets[slot].record.number);
-      if (found == known.reports.end() ||
-          now - found->second.at > internal::kReportLife) {
-        continue;
-      }
-      const TargetReport& report = found->second.report;
-      load.peerFlows += report.flows;
-      load.peerBusy += report.busy;
-      const MilliTime progress{ found->second.at.ms - report.sinceProgress.ms };
-      load.peerProgressAt = std::max(load.peerProgressAt, progress);
-    }
+    TargetLoad& load = this->board.observer.loadFor(slot);
+    load.peerFlows += received.report.flows;
+    load.peerBusy += received.report.busy;
+    const MilliTime progress{ received.at.ms -
+                              received.report.sinceProgress.ms };
+    load.peerProgressAt = std::max(load.peerProgressAt, progress);
   }
 }
 
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -3,6 +3,7 @@
 
 #include "../Steering/ViewController.h"
 #include "FleetMembers.h"
+#include "StoreReaders.h"
 #include "ViewTransfer.h"
 
 #include <deque>
@@ -33,8 +34,10 @@
   /// \brief Passes news on to a few members, if there are any.
   void pushView(MilliTime now);
 
-  /// \returns whether this instance reads the store. One instance of a zone
-  /// does; others join in when the view grows old in spite of it.
+  /// \brief Tells some members that the store has just confirmed the view.
+  void tellConfirmed(MilliTime now);
+
+  /// \returns whether this instance reads the store.
   bool shouldReadStore(MilliTime now) const;
 
   void setStopping() { this->members.setStopping(); }
@@ -65,8 +68,11 @@
   };
 
   ViewPoint pushed;
-  ViewPoint newest;             ///< that any peer told of
-  MilliTime behindSince{};      ///< 0 if no peer has a newer view
+  ViewPoint newest;        ///< that any peer told of
+  MilliTime behindSince{}; ///< 0 if no peer has a newer view
+  MilliTime startedAt{};   ///< of this process
+  MilliTime offeredAt{};   ///< first that a peer told of a view; 0: none
+  MilliTime nextConfirmation{};
   std::deque<ViewPoint> points; ///< of the last pushes
   MilliTime nextPush{};
   std::size_t nextReport = 0;
@@ -88,6 +94,9 @@
                 const FleetMember& sender,
                 MilliTime now);
   void confirmView(const ViewVersions& peer, MilliTime now);
+  void answerStarter(const ViewVersions& peer,
+                     const Endpoint& from,
+                     MilliTime now);
   void askIfOlder(const ViewVersions& peer,
                   const Endpoint& from,
                   MilliTime now);
@@ -95,6 +104,7 @@
                    const FleetHeartbeat& body,
                    MilliTime now);
   void sumReports(MilliTime now);
+  void addReports(KnownMember& member, MilliTime now);
   ViewPoint pushBase(MilliTime now) const;
   void notePoint(MilliTime now);
   ViewVersions ownView(MilliTime now) const;
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -12,6 +12,34 @@
 constexpr MilliDuration kForgetAfter{ 20000 };
 constexpr std::size_t kMostMembers = 4096;
 
+/// \brief Leaves a random choice of up to \a count members.
+void
+keepRandom(std::vector<const KnownMember*>& members,
+           std::size_t count,
+           Random& random)
+{
+  for (std::size_t i = 0; i < members.size() && i < count; ++i) {
+    const std::size_t other = i + random.below(members.size() - i);
+    std::swap(members[i], members[other]);
+  }
+  members.resize(std::min(count, members.size()));
+}
+
+void
+setMember(KnownMember& known, const FleetMember& member)
+{
+  if (known.member.id != member.id) {
+    known.order = hashText(member.id);
+  }
+  known.member = member;
+}
+
+}
+
+FleetMembers::FleetMembers(FleetMember newSelf)
+  : self(std::move(newSelf))
+  , order(hashText(this->self.id))
+{
 }
 
 KnownMember*
@@ -29,7 +57,7 @@
     known.reports.clear();
     known.view = ViewVersions{};
   }
-  known.member = sender;
+  internal::setMember(known, sender);
   known.heardAt = now;
   return &known;
 }
@@ -47,7 +75,7 @@
   if (found == this->members.end()) {
     if (this->members.size() < internal::kMostMembers) {
       KnownMember& known = this->members[member.address];
-      known.member = member;
+      internal::setMember(known, member);
       known.heardAt = heardAt;
     }
     return;
@@ -55,7 +83,7 @@
   KnownMember& known = found->second;
   if (heardAt > known.heardAt) {
     known.heardAt = heardAt;
-    known.member = member;
+    internal::setMember(known, member);
   }
 }
 
@@ -96,25 +124,73 @@
       chosen.push_back(&known);
     }
   }
-  for (std::size_t i = 0; i < chosen.size() && i < count; ++i) {
-    const std::size_t other = i + random.below(chosen.size() - i);
-    std::swap(chosen[i], chosen[other]);
+  internal::keepRandom(chosen, count, random);
+  return chosen;
+}
+
+std::vector<const KnownMember*>
+FleetMembers::sampleLive(std::size_t count, MilliTime now, Random& random) const
+{
+  std::vector<const KnownMember*> chosen;
+  for (const auto& [address, known] : this->members) {
+    if (this->isLive(known, now)) {
+      chosen.push_back(&known);
+    }
   }
-  chosen.resize(std::min(count, chosen.size()));
+  internal::keepRandom(chosen, count, random);
   return chosen;
 }
 
+bool
+FleetMembers::takesPart(const KnownMember& known, MilliTime now) const
+{
+  return !known.member.stopping && this->isLive(known, now);
+}
+
 std::size_t
 FleetMembers::rankInZone(MilliTime now) const
 {
-  const std::uint64_t own = hashText(this->self.id);
-  std::size_t rank = 0;
+  return static_cast<std::size_t>(std::count_if(
+    this->members.begin(), this->members.end(), [&](const auto& entry) {
+      const KnownMember& known = entry.second;
+      return known.member.zone == this->self.zone &&
+             known.order < this->order && this->takesPart(known, now);
+    }));
+}
+
+bool
+FleetMembers::isReader(MilliTime now) const
+{
+  const KnownMember* first = nullptr;
   for (const auto& [address, known] : this->members) {
-    const bool isPeer = known.member.zone == this->self.zone &&
-                        !known.member.stopping && this->isLive(known, now);
-    rank += isPeer && hashText(known.member.id) < own ? 1 : 0;
+    const bool isBefore =
+      known.order < (first == nullptr ? this->order : first->order);
+    if (isBefore && this->takesPart(known, now)) {
+      first = &known;
+    }
+  }
+  if (first == nullptr) {
+    return true;
   }
-  return rank;
+  const std::string& zone = first->member.zone;
+  const bool hasOtherZones =
+    this->self.zone != zone ||
+    std::any_of(
+      this->members.begin(), this->members.end(), [&](const auto& entry) {
+        return entry.second.member.zone != zone &&
+               this->takesPart(entry.second, now);
+      });
+  if (hasOtherZones && this->self.zone == zone) {
+    return false;
+  }
+  return std::none_of(
+    this->members.begin(), this->members.end(), [&](const auto& entry) {
+      const KnownMember& known = entry.second;
+      const bool competes =
+        hasOtherZones ? known.member.zone != zone : &known != first;
+      return competes && known.order < this->order &&
+             this->takesPart(known, now);
+    });
 }
 
 std::vector<const KnownMember*>
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -21,7 +21,8 @@
 struct KnownMember
 {
   FleetMember member;
-  MilliTime heardAt{}; ///< last sign of life, here or at any peer
+  std::uint64_t order = 0; ///< place among all members, alike at all of them
+  MilliTime heardAt{};     ///< last sign of life, here or at any peer
   ViewVersions view;
   bool wasLive = false; ///< when changes were last taken
   boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
@@ -41,10 +42,7 @@
   /// \brief A member that was not heard for so long is taken for lost.
   static constexpr MilliDuration kLostAfter{ 4000 };
 
-  explicit FleetMembers(FleetMember self)
-    : self(std::move(self))
-  {
-  }
+  explicit FleetMembers(FleetMember newSelf);
 
   /// \brief Notes a message of a member.
   /// \returns the member, or null if it is this instance itself
@@ -66,10 +64,19 @@
                                          std::size_t count,
                                          Random& random) const;
 
+  /// \returns up to \a count random live members.
+  std::vector<const KnownMember*> sampleLive(std::size_t count,
+                                             MilliTime now,
+                                             Random& random) const;
+
   /// \returns this instance's place among the live members of its zone, in an
   /// order that all of them compute alike; 0 is first.
   std::size_t rankInZone(MilliTime now) const;
 
+  /// \returns whether this instance is one of the two readers of the fleet:
+  /// the first live member, and the first one outside of its zone.
+  bool isReader(MilliTime now) const;
+
   /// \returns one live member for each other zone.
   std::vector<const KnownMember*> oneInEachOtherZone(MilliTime now,
                                                      Random& random) const;
@@ -86,7 +93,10 @@
 
 private:
   FleetMember self;
+  std::uint64_t order;
   std::map<Endpoint, KnownMember> members;
+
+  bool takesPart(const KnownMember& known, MilliTime now) const;
 };
 
 }
--- /dev/null
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -0,0 +1,39 @@
+#ifndef BUCKTHORNWING_STORE_READERS_H
+#define BUCKTHORNWING_STORE_READERS_H
+
+#include "../Core/MilliTime.h"
+
+#include <cstddef>
+#include <optional>
+
+namespace buckthornwing {
+
+/// \brief What decides whether an instance reads the platform's store.
+struct StoreReaderSituation
+{
+  bool hasView = false;
+  bool isFetching = false;    ///< parts of a view are arriving from a peer
+  MilliDuration sinceStart{}; ///< of this process
+  /// Since a peer first told of a view; nothing if none has one.
+  std::optional<MilliDuration> sinceOffered;
+  bool isReader = false;      ///< by its place among all live members
+  std::size_t rankInZone = 0; ///< among the live members of its zone
+  MilliDuration viewAge{};    ///< since the store confirmed both parts
+  MilliDuration behindFor{};  ///< how long peers have had newer views
+};
+
+/// \returns whether an instance reads the store.
+///
+/// Load pattern: hundreds of instances before one store that counts calls. Two
+/// instances read for all; the others learn views from peers. A process that
+/// starts asks peers first, and reads only if nobody has a view, as after a
+/// loss of power, or if none delivers. A part of the fleet that is cut off from
+/// the readers notices by the age of its view: one instance of each zone joins
+/// in, and after growing pauses a few more, in case the store turns the first
+/// ones away. So a store that fails is never asked by all instances at once.
+bool
+shouldReadStore(const StoreReaderSituation& situation);
+
+}
+
+#endif
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -27,6 +27,12 @@
   return this->steering.decide(packet, now);
 }
 
+SteeringDecision
+TagEngine::onHeldPacket(const CallerPacket& packet, MilliTime now)
+{
+  return this->steering.decideHeld(packet, now);
+}
+
 void
 TagEngine::noteContact()
 {
@@ -47,6 +53,7 @@
   this->state.targetsConfirmedAt = now;
   this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
   this->fleet.pushView(now);
+  this->fleet.tellConfirmed(now);
 }
 
 void
@@ -60,6 +67,7 @@
   this->state.targetsConfirmedAt = now;
   this->state.targetsCertainAt = std::max(this->state.targetsCertainAt, readAt);
   this->fleet.pushView(now);
+  this->fleet.tellConfirmed(now);
 }
 
 void
--- /dev/null
+++ b/test/tag/store_readers.cpp
@@ -0,0 +1,82 @@
+/// \file
+/// \brief Tests of who reads the platform's store.
+
+#include <Fleet>
+
+#include <criterion/criterion.h>
+
+using namespace buckthornwing;
+using namespace buckthornwing::literals;
+
+namespace {
+
+/// \brief An instance that has run for long and has a fresh view.
+StoreReaderSituation
+calm()
+{
+  StoreReaderSituation situation;
+  situation.hasView = true;
+  situation.sinceStart = 60_s;
+  situation.viewAge = 500_ms;
+  return situation;
+}
+
+}
+
+Test(store_readers, in_calm_only_the_chosen_ones_read)
+{
+  StoreReaderSituation situation = calm();
+  cr_assert_not(shouldReadStore(situation));
+  situation.isReader = true;
+  cr_assert(shouldReadStore(situation));
+}
+
+Test(store_readers, a_zone_that_is_cut_off_finds_its_own_reader_within_2_s)
+{
+  StoreReaderSituation situation = calm();
+  situation.viewAge = 2001_ms;
+  cr_assert(shouldReadStore(situation));
+}
+
+/// A zone of 59 instances without the store asked it some hundred times.
+Test(store_readers, a_store_that_is_down_is_asked_by_few)
+{
+  std::size_t readers = 0;
+  StoreReaderSituation situation = calm();
+  situation.viewAge = 6_s;
+  for (situation.rankInZone = 0; situation.rankInZone < 100;
+       ++situation.rankInZone) {
+    readers += shouldReadStore(situation) ? 1 : 0;
+  }
+  cr_assert_geq(readers, 3, "the store may turn the first ones away");
+  cr_assert_leq(readers, 6);
+}
+
+Test(store_readers, who_stays_behind_its_peers_reads)
+{
+  StoreReaderSituation situation = calm();
+  situation.behindFor = 1001_ms;
+  cr_assert(shouldReadStore(situation));
+}
+
+Test(store_readers, a_starting_process_asks_peers_first)
+{
+  StoreReaderSituation situation;
+  cr_assert_not(shouldReadStore(situation));
+  situation.sinceStart = 100_ms;
+  cr_assert(shouldReadStore(situation), "nobody has a view");
+  situation.sinceOffered = 20_ms;
+  cr_assert_not(shouldReadStore(situation));
+}
+
+Test(store_readers, a_starting_process_does_not_wait_for_a_peer_for_ever)
+{
+  StoreReaderSituation situation;
+  situation.sinceStart = 700_ms;
+  situation.sinceOffered = 600_ms;
+  cr_assert(shouldReadStore(situation));
+  situation.isFetching = true;
+  cr_assert_not(shouldReadStore(situation));
+  situation.sinceOffered = 4_s;
+  cr_assert(shouldReadStore(situation));
+}
