A held packet leaves one line when it is held and one at its end

Cause: every message that came in decided held packets again, logged each again and began their time anew, so that none ever expired (9,572 lines in 16 s at one instance without a view).

Change: held packets are decided again when the view has changed, and at ticks for their end; they keep the time at which they came. A held packet that ends without a decision is a drop with held_ms.

--- a/buckthornwing/src/Io/HeldPackets.h
+++ b/buckthornwing/src/Io/HeldPackets.h
@@ -4,13 +4,27 @@
 #include "../Core/MilliTime.h"
 
 #include <cstdint>
-#include <deque>
 #include <span>
+#include <utility>
 #include <vector>
 
 namespace buckthornwing {
 
-/// \brief Packets that wait for a newer view; bounded in number and time.
+/// \brief A packet that waits for a newer view.
+struct HeldPacket
+{
+  MilliTime since;
+  std::vector<std::uint8_t> bytes;
+
+  /// \returns whether its caller has sent it again by now.
+  bool isOver(MilliTime now) const { return now - this->since > kLongestHold; }
+
+private:
+  /// Callers send a packet again after 200 ms, so an older one is of no use.
+  static constexpr MilliDuration kLongestHold{ 400 };
+};
+
+/// \brief Packets that wait for a newer view; bounded in number.
 class HeldPackets
 {
 public:
@@ -25,33 +39,18 @@
     return true;
   }
 
-  /// \brief Takes out all packets that are not too old, for a new decision.
-  std::vector<std::vector<std::uint8_t>> release(MilliTime now)
-  {
-    std::vector<std::vector<std::uint8_t>> released;
-    for (Held& held : this->packets) {
-      if (now - held.since <= kLongestHold) {
-        released.push_back(std::move(held.bytes));
-      }
-    }
-    this->packets.clear();
-    return released;
-  }
+  /// \brief Puts a packet back that has to wait on.
+  void keep(HeldPacket packet) { this->packets.push_back(std::move(packet)); }
+
+  /// \brief Takes out all packets, for a new decision or the end.
+  std::vector<HeldPacket> takeAll() { return std::exchange(this->packets, {}); }
 
   bool empty() const { return this->packets.empty(); }
 
 private:
   static constexpr std::size_t kMostPackets = 2000;
-  /// Callers send a packet again after 200 ms, so an older one is of no use.
-  static constexpr MilliDuration kLongestHold{ 400 };
-
-  struct Held
-  {
-    MilliTime since;
-    std::vector<std::uint8_t> bytes;
-  };
 
-  std::deque<Held> packets;
+  std::vector<HeldPacket> packets;
 };
 
 }
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -84,6 +84,7 @@
                  const CallerPacket& packet,
                  const SteeringDecision& decision,
                  std::string_view requestId,
+                 std::optional<MilliDuration> heldFor,
                  MilliTime now)
 {
   if (!this->isWanted(packet, decision, requestId)) {
@@ -103,6 +104,9 @@
   if (!requestId.empty()) {
     line["request"] = requestId;
   }
+  if (heldFor) {
+    line["held_ms"] = heldFor->ms;
+  }
   internal::addPacket(packet, line);
   if (decision.route != nullptr) {
     line["route"] = decision.route->name;
--- a/buckthornwing/src/Io/TagLog.h
+++ b/buckthornwing/src/Io/TagLog.h
@@ -7,6 +7,7 @@
 #include "TagServerSettings.h"
 
 #include <array>
+#include <optional>
 #include <string_view>
 
 namespace buckthornwing {
@@ -21,10 +22,12 @@
   void setLevel(TagLogLevel newLevel) { this->level = newLevel; }
 
   /// \brief Logs what was decided on a packet, if the level asks for it.
+  /// \param heldFor how long the packet waited for a newer view, if it did
   void decision(const TagBoard& board,
                 const CallerPacket& packet,
                 const SteeringDecision& decision,
                 std::string_view requestId,
+                std::optional<MilliDuration> heldFor,
                 MilliTime now);
   void change(const TagBoard& board, const TagEvent& event, MilliTime now);
   /// \brief Logs a step in the process's life.
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -111,7 +111,8 @@
     this->ready.start(handler);
     this->operators.start(handler);
     this->source.start();
-    this->scheduleTick();
+    // Peers are asked for their view at once.
+    this->tick();
     return {};
   }
 
@@ -168,6 +169,7 @@
   Source source;
   boost::asio::steady_timer tickTimer;
   HeldPackets held;
+  ViewStamp heldAtStamp; ///< the view by which they were decided last
   TagHostCounters counters;
   MilliTime stopAt{};
   MilliTime lastPacketAt{};
@@ -188,22 +190,72 @@
       ++this->counters.faults[static_cast<std::size_t>(fault)];
       return;
     }
-    const SteeringDecision decision = this->engine.onPacket(packet, now);
-    this->carryOut(decision, packet, datagram, now);
-    const std::string_view requestId = packet.payload.empty()
-                                         ? std::string_view{}
-                                         : Codec::requestId(packet.payload);
-    this->log.decision(this->engine.board(), packet, decision, requestId, now);
+    SteeringDecision decision = this->engine.onPacket(packet, now);
+    if (decision.outcome == SteeringOutcome::hold) {
+      this->hold(datagram, decision, now);
+    }
+    this->carryOut(decision, packet, datagram);
+    this->logDecision(packet, decision, {}, now);
     this->startProbes();
+    this->listIfWanted(now);
+  }
+
+  void listIfWanted(MilliTime now)
+  {
     if (this->engine.wantsListing(now)) {
       this->source.refreshTargets();
     }
   }
 
+  /// \brief Keeps a packet for later; drops it if there are too many.
+  void hold(std::span<const std::uint8_t> datagram,
+            SteeringDecision& decision,
+            MilliTime now)
+  {
+    if (!this->held.hold(datagram, now)) {
+      ++this->counters.notHeld;
+      decision.outcome = SteeringOutcome::drop;
+    }
+  }
+
+  /// \param heldFor how long the packet waited, if it did
+  void logDecision(const CallerPacket& packet,
+                   const SteeringDecision& decision,
+                   std::optional<MilliDuration> heldFor,
+                   MilliTime now)
+  {
+    const std::string_view requestId = packet.payload.empty()
+                                         ? std::string_view{}
+                                         : Codec::requestId(packet.payload);
+    this->log.decision(
+      this->engine.board(), packet, decision, requestId, heldFor, now);
+  }
+
+  /// \brief Decides held packets again; those that must wait on do so
+  /// unnoticed, the others leave one line.
+  void decideHeld(MilliTime now)
+  {
+    for (HeldPacket& each : this->held.takeAll()) {
+      CallerPacket packet;
+      // It was parsed without a fault before it was held.
+      Codec::parse(each.bytes, packet);
+      SteeringDecision decision = this->engine.onHeldPacket(packet, now);
+      const bool mustWait = decision.outcome == SteeringOutcome::hold;
+      if (mustWait && !each.isOver(now)) {
+        this->held.keep(std::move(each));
+        continue;
+      }
+      if (mustWait) {
+        decision.outcome = SteeringOutcome::drop;
+      }
+      this->carryOut(decision, packet, each.bytes);
+      this->logDecision(packet, decision, now - each.since, now);
+    }
+  }
+
   void carryOut(const SteeringDecision& decision,
                 const CallerPacket& packet,
-                std::span<const std::uint8_t> datagram,
-                MilliTime now)
+                std::span<const std::uint8_t> datagram)
   {
     switch (decision.outcome) {
       case SteeringOutcome::forward: {
@@ -220,8 +272,6 @@
           Codec::callerEndpoint(packet, this->settings.packetAddress.port));
         break;
       case SteeringOutcome::hold:
-        this->counters.notHeld += this->held.hold(datagram, now) ? 0 : 1;
-        break;
       case SteeringOutcome::drop:
         break;
     }
@@ -279,8 +329,8 @@
       decision.reason = rescued.targetLeft ? SteeringReason::targetGone
                                            : SteeringReason::targetSilent;
       decision.target = rescued.target;
-      this->carryOut(decision, packet, {}, now);
-      this->log.decision(this->engine.board(), packet, decision, {}, now);
+      this->carryOut(decision, packet, {});
+      this->logDecision(packet, decision, {}, now);
     }
   }
 
@@ -294,8 +344,10 @@
     for (const TagEvent& event : this->engine.takeEvents()) {
       this->log.change(this->engine.board(), event, now);
     }
-    for (const auto& datagram : this->held.release(now)) {
-      this->onDatagram(datagram);
+    const ViewStamp stamp = stampOf(this->engine.board());
+    if (stamp != this->heldAtStamp) {
+      this->heldAtStamp = stamp;
+      this->decideHeld(now);
     }
   }
 
@@ -314,6 +366,8 @@
     const MilliTime now = bootTime();
     this->engine.tick(now);
     this->afterInput();
+    this->decideHeld(now);
+    this->listIfWanted(now);
     this->log.reportSuppressed();
     if (this->mayStop(now)) {
       this->finishStop();
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -11,6 +11,24 @@
 
 SteeringDecision
 SteeringController::decide(const CallerPacket& packet, MilliTime now)
+{
+  const SteeringDecision decision = this->choose(packet, now);
+  this->count(decision);
+  return decision;
+}
+
+SteeringDecision
+SteeringController::decideHeld(const CallerPacket& packet, MilliTime now)
+{
+  const SteeringDecision decision = this->choose(packet, now);
+  if (decision.outcome != SteeringOutcome::hold) {
+    this->count(decision);
+  }
+  return decision;
+}
+
+SteeringDecision
+SteeringController::choose(const CallerPacket& packet, MilliTime now)
 {
   const FlowId id = flowIdOf(packet.flow, this->board.settings.tagSecret);
   SteeringDecision decision;
@@ -40,7 +58,6 @@
   } else if (decision.outcome == SteeringOutcome::reset) {
     this->board.observer.onReset(id);
   }
-  this->count(decision);
   return decision;
 }
 
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -21,6 +21,9 @@
 
   SteeringDecision decide(const CallerPacket& packet, MilliTime now);
 
+  /// \brief Decides a held packet again; only its end is counted.
+  SteeringDecision decideHeld(const CallerPacket& packet, MilliTime now);
+
   /// \returns whether a full read of the registry is needed now.
   bool wantsListing(MilliTime now)
   {
@@ -35,6 +38,7 @@
   OpeningPace pace;
   UnknownTargets unknownTargets;
 
+  SteeringDecision choose(const CallerPacket& packet, MilliTime now);
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
                                  MilliTime now);
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -108,6 +108,25 @@
   }
 };
 
+/// \brief What decisions on packets of unknown flows depend on.
+struct ViewStamp
+{
+  std::uint64_t targetsRevision = 0;
+  std::uint64_t routesVersion = 0;
+  MilliTime targetsCertainAt{};
+
+  bool operator==(const ViewStamp&) const = default;
+};
+
+/// \returns a value that differs whenever held packets are to be decided again.
+inline ViewStamp
+stampOf(const TagBoard& board)
+{
+  return { board.registry.revision(),
+           board.routes.version(),
+           board.targetsCertainAt };
+}
+
 }
 
 #endif
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -21,6 +21,9 @@
 
   SteeringDecision onPacket(const CallerPacket& packet, MilliTime now);
 
+  /// \brief Decides a packet again that was held; held on, it is not counted.
+  SteeringDecision onHeldPacket(const CallerPacket& packet, MilliTime now);
+
   /// \brief Takes a full list of targets from the platform.
   /// \param readAt no later than when the platform read it
   void onTargetListing(std::uint64_t asOf,
