One instance reads the store for the fleet, with a stand-by in another zone

Change: the stand-by reads only when the reader's news stop for 1.25 s; the reader tells it of each confirmation. Routes are watched for 2 s, targets for 1 s, since what goes wrong with the connection shows there first. At a first start, which the settings name, no caller waits: instances that are no seeds spread their reads over 2 s and find a peer's view meanwhile.

--- a/buckthornwing/src/Config/JsonReader.cpp
+++ b/buckthornwing/src/Config/JsonReader.cpp
@@ -177,6 +177,20 @@
   return 0;
 }
 
+bool
+JsonReader::flag(std::string_view name, bool fallback)
+{
+  const boost::json::value* value = this->field(name, false);
+  if (value == nullptr) {
+    return fallback;
+  }
+  if (!value->is_bool()) {
+    this->report(name, "expected true or false, found " + describeKind(*value));
+    return fallback;
+  }
+  return value->as_bool();
+}
+
 IpAddress
 JsonReader::address(std::string_view name)
 {
--- a/buckthornwing/src/Config/JsonReader.h
+++ b/buckthornwing/src/Config/JsonReader.h
@@ -44,6 +44,9 @@
                      std::initializer_list<std::string_view> names,
                      std::optional<std::size_t> fallback = std::nullopt);
 
+  /// \returns the field's true or false.
+  bool flag(std::string_view name, bool fallback);
+
   /// \returns the field's IP address.
   IpAddress address(std::string_view name);
 
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -41,6 +41,9 @@
               board.settings.advertisedAddress,
               board.settings.incarnation,
               false })
+  , askPeersFirst(askPeersFor(board.settings.isFirstStart,
+                              this->isSeed(),
+                              board.random))
 {
 }
 
@@ -265,7 +268,14 @@
 void
 FleetController::tellConfirmed(MilliTime now)
 {
-  if (!this->board.hasView() || now < this->nextConfirmation) {
+  if (!this->board.hasView()) {
+    return;
+  }
+  const KnownMember* standBy = this->members.standBy(now);
+  if (standBy != nullptr) {
+    this->sendHeartbeat(standBy->member.address, now);
+  }
+  if (now < this->nextConfirmation) {
     return;
   }
   this->nextConfirmation = now + internal::kConfirmationPeriod;
@@ -275,23 +285,31 @@
   }
 }
 
+bool
+FleetController::isSeed() const
+{
+  const auto& seeds = this->board.settings.seeds;
+  return std::find(seeds.begin(), seeds.end(), this->members.own().address) !=
+         seeds.end();
+}
+
 bool
 FleetController::shouldReadStore(MilliTime now) const
 {
-  const MilliTime confirmedAt =
-    std::min(this->board.targetsConfirmedAt, this->board.routesConfirmedAt);
   StoreReaderSituation situation;
   situation.hasView = this->board.hasView();
   situation.isFetching =
     this->fetchedTargets.isFetching() || this->fetchedRoutes.isFetching();
   situation.sinceStart =
     this->startedAt.ms == 0 ? MilliDuration{} : now - this->startedAt;
+  situation.askPeersFor = this->askPeersFirst;
   if (this->offeredAt.ms != 0) {
     situation.sinceOffered = now - this->offeredAt;
   }
-  situation.isReader = this->members.isReader(now);
+  situation.role = this->members.role(now);
   situation.rankInZone = this->members.rankInZone(now);
-  situation.viewAge = now - confirmedAt;
+  situation.targetsAge = now - this->board.targetsConfirmedAt;
+  situation.routesAge = now - this->board.routesConfirmedAt;
   if (this->behindSince.ms != 0) {
     situation.behindFor = now - this->behindSince;
   }
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -72,6 +72,7 @@
   MilliTime behindSince{}; ///< 0 if no peer has a newer view
   MilliTime startedAt{};   ///< of this process
   MilliTime offeredAt{};   ///< first that a peer told of a view; 0: none
+  MilliDuration askPeersFirst{};
   MilliTime nextConfirmation{};
   std::deque<ViewPoint> points; ///< of the last pushes
   MilliTime nextPush{};
@@ -103,6 +104,7 @@
   void takeReports(KnownMember& member,
                    const FleetHeartbeat& body,
                    MilliTime now);
+  bool isSeed() const;
   void sumReports(MilliTime now);
   void addReports(KnownMember& member, MilliTime now);
   ViewPoint pushBase(MilliTime now) const;
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -158,39 +158,49 @@
     }));
 }
 
-bool
-FleetMembers::isReader(MilliTime now) const
+const KnownMember*
+FleetMembers::firstOutside(std::string_view zone,
+                           const KnownMember* leftOut,
+                           MilliTime now) const
 {
   const KnownMember* first = nullptr;
   for (const auto& [address, known] : this->members) {
-    const bool isBefore =
-      known.order < (first == nullptr ? this->order : first->order);
-    if (isBefore && this->takesPart(known, now)) {
+    const bool isFit = &known != leftOut && known.member.zone != zone &&
+                       this->takesPart(known, now);
+    if (isFit && (first == nullptr || known.order < first->order)) {
       first = &known;
     }
   }
-  if (first == nullptr) {
-    return true;
+  return first;
+}
+
+ReaderRole
+FleetMembers::role(MilliTime now) const
+{
+  // No member is in a zone without a name.
+  const KnownMember* first = this->firstOutside({}, nullptr, now);
+  if (first == nullptr || this->order < first->order) {
+    return ReaderRole::reader;
   }
   const std::string& zone = first->member.zone;
-  const bool hasOtherZones =
-    this->self.zone != zone ||
-    std::any_of(
-      this->members.begin(), this->members.end(), [&](const auto& entry) {
-        return entry.second.member.zone != zone &&
-               this->takesPart(entry.second, now);
-      });
-  if (hasOtherZones && this->self.zone == zone) {
-    return false;
-  }
-  return std::none_of(
-    this->members.begin(), this->members.end(), [&](const auto& entry) {
-      const KnownMember& known = entry.second;
-      const bool competes =
-        hasOtherZones ? known.member.zone != zone : &known != first;
-      return competes && known.order < this->order &&
-             this->takesPart(known, now);
-    });
+  const KnownMember* second = this->firstOutside(zone, nullptr, now);
+  const bool isElsewhere = this->self.zone != zone;
+  if (!isElsewhere && second == nullptr) {
+    second = this->firstOutside({}, first, now);
+  } else if (!isElsewhere) {
+    return ReaderRole::none;
+  }
+  const bool isSecond = second == nullptr || this->order < second->order;
+  return isSecond ? ReaderRole::standBy : ReaderRole::none;
+}
+
+const KnownMember*
+FleetMembers::standBy(MilliTime now) const
+{
+  const KnownMember* elsewhere =
+    this->firstOutside(this->self.zone, nullptr, now);
+  return elsewhere != nullptr ? elsewhere
+                              : this->firstOutside({}, nullptr, now);
 }
 
 std::vector<const KnownMember*>
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -35,6 +35,14 @@
   bool isLive = false;
 };
 
+/// \brief What an instance does for the whole fleet.
+enum class ReaderRole : std::uint8_t
+{
+  none,
+  reader,  ///< the first live member: it follows the platform's store
+  standBy, ///< the first one outside of the reader's zone
+};
+
 /// \brief The peers of an instance, found through seeds and spread by gossip.
 class FleetMembers
 {
@@ -73,9 +81,12 @@
   /// order that all of them compute alike; 0 is first.
   std::size_t rankInZone(MilliTime now) const;
 
-  /// \returns whether this instance is one of the two readers of the fleet:
-  /// the first live member, and the first one outside of its zone.
-  bool isReader(MilliTime now) const;
+  /// \returns this instance's part in reading the store. A fleet in one zone
+  /// has its second member as the stand-by.
+  ReaderRole role(MilliTime now) const;
+
+  /// \returns the stand-by, if it is another instance; otherwise null.
+  const KnownMember* standBy(MilliTime now) const;
 
   /// \returns one live member for each other zone.
   std::vector<const KnownMember*> oneInEachOtherZone(MilliTime now,
@@ -97,6 +108,11 @@
   std::map<Endpoint, KnownMember> members;
 
   bool takesPart(const KnownMember& known, MilliTime now) const;
+  /// \returns the first member that takes part outside of a zone, but for one
+  /// that is left out; null if there is none.
+  const KnownMember* firstOutside(std::string_view zone,
+                                  const KnownMember* leftOut,
+                                  MilliTime now) const;
 };
 
 }
--- a/buckthornwing/src/Fleet/StoreReaders.cpp
+++ b/buckthornwing/src/Fleet/StoreReaders.cpp
@@ -8,12 +8,20 @@
 /// \brief A process that starts hears from a peer within this time, if one has
 /// a view: some round trips between zones.
 constexpr MilliDuration kAskPeersFirst{ 80 };
+/// \brief Over this time the instances of a first start begin to read, unless
+/// a view reaches them before.
+constexpr std::uint64_t kFirstStartSpreadMs = 2000;
 /// \brief A peer that told of a view has sent parts of it within this time.
 constexpr MilliDuration kPeerPatience{ 500 };
 /// \brief Even a fetch that makes progress is not waited for any longer.
 constexpr MilliDuration kLongestFetch{ 3000 };
+/// \brief The store confirms targets at least once a second, and the stand-by
+/// hears of it at once.
+constexpr MilliDuration kStandByAge{ 1250 };
 /// \brief A view older than this makes more instances read the store.
 constexpr MilliDuration kOldView{ 2000 };
+/// \brief Routes may be older than targets, because their watch waits longer.
+constexpr MilliDuration kRoutesAllowance{ 1000 };
 /// \brief Pause before the second instance of a zone joins in; it doubles for
 /// each further one.
 constexpr std::int64_t kJoinPauseMs = 150;
@@ -25,12 +33,20 @@
 readsAtStart(const StoreReaderSituation& situation)
 {
   if (!situation.sinceOffered) {
-    return situation.sinceStart >= kAskPeersFirst;
+    return situation.sinceStart >= situation.askPeersFor;
   }
   const MilliDuration waited = *situation.sinceOffered;
   return situation.isFetching ? waited > kLongestFetch : waited > kPeerPatience;
 }
 
+/// \returns the age of the older part of the view.
+MilliDuration
+viewAge(const StoreReaderSituation& situation)
+{
+  return MilliDuration{ std::max(
+    situation.targetsAge.ms, situation.routesAge.ms - kRoutesAllowance.ms) };
+}
+
 /// \returns the age of a view at which an instance of a rank joins in.
 MilliDuration
 joinAge(std::size_t rankInZone)
@@ -48,8 +64,22 @@
   if (!situation.hasView) {
     return internal::readsAtStart(situation);
   }
-  return situation.isReader || situation.behindFor > internal::kLongestBehind ||
-         situation.viewAge > internal::joinAge(situation.rankInZone);
+  const MilliDuration age = internal::viewAge(situation);
+  const bool takesOver =
+    situation.role == ReaderRole::standBy && age > internal::kStandByAge;
+  return situation.role == ReaderRole::reader || takesOver ||
+         situation.behindFor > internal::kLongestBehind ||
+         age > internal::joinAge(situation.rankInZone);
+}
+
+MilliDuration
+askPeersFor(bool isFirstStart, bool isSeed, Random& random)
+{
+  const bool isPatient = isFirstStart && !isSeed;
+  const std::uint64_t spread =
+    isPatient ? random.below(internal::kFirstStartSpreadMs) : 0;
+  return internal::kAskPeersFirst +
+         MilliDuration{ static_cast<std::int64_t>(spread) };
 }
 
 }
--- a/buckthornwing/src/Fleet/StoreReaders.h
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_STORE_READERS_H
 
 #include "../Core/MilliTime.h"
+#include "FleetMembers.h"
 
 #include <cstddef>
 #include <optional>
@@ -12,20 +13,23 @@
 struct StoreReaderSituation
 {
   bool hasView = false;
-  bool isFetching = false;    ///< parts of a view are arriving from a peer
-  MilliDuration sinceStart{}; ///< of this process
+  bool isFetching = false;     ///< parts of a view are arriving from a peer
+  MilliDuration sinceStart{};  ///< of this process
+  MilliDuration askPeersFor{}; ///< a start waits so long for any peer's view
   /// Since a peer first told of a view; nothing if none has one.
   std::optional<MilliDuration> sinceOffered;
-  bool isReader = false;      ///< by its place among all live members
+  ReaderRole role = ReaderRole::none;
   std::size_t rankInZone = 0; ///< among the live members of its zone
-  MilliDuration viewAge{};    ///< since the store confirmed both parts
-  MilliDuration behindFor{};  ///< how long peers have had newer views
+  MilliDuration targetsAge{}; ///< since the store confirmed them
+  MilliDuration routesAge{};
+  MilliDuration behindFor{}; ///< how long peers have had newer views
 };
 
 /// \returns whether an instance reads the store.
 ///
-/// Load pattern: hundreds of instances before one store that counts calls. Two
-/// instances read for all; the others learn views from peers. A process that
+/// Load pattern: hundreds of instances before one store that counts calls. One
+/// instance reads for all; the others learn views from peers. A stand-by in
+/// another zone takes over as soon as the reader's news stop. A process that
 /// starts asks peers first, and reads only if nobody has a view, as after a
 /// loss of power, or if none delivers. A part of the fleet that is cut off from
 /// the readers notices by the age of its view: one instance of each zone joins
@@ -34,6 +38,13 @@
 bool
 shouldReadStore(const StoreReaderSituation& situation);
 
+/// \returns how long a process that starts waits for any peer's view.
+/// \param isFirstStart all instances start for the first time and no caller
+/// waits: few of them read, the others have time to learn the view from those
+/// \param isSeed peers ask this instance first
+MilliDuration
+askPeersFor(bool isFirstStart, bool isSeed, Random& random);
+
 }
 
 #endif
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -32,6 +32,7 @@
   settings.logLevel = static_cast<TagLogLevel>(
     reader.choice("log_level", { "changes", "decisions", "packets" }, 1));
   settings.tag.seeds = parseSeeds(reader, problems);
+  settings.tag.isFirstStart = reader.flag("first_start", false);
   return settings;
 }
 
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -85,6 +85,7 @@
   this->state.routesRevision = std::max(this->state.routesRevision, asOf);
   this->state.routesConfirmedAt = now;
   this->fleet.pushView(now);
+  this->fleet.tellConfirmed(now);
 }
 
 void
--- a/buckthornwing/src/Steering/TagSettings.h
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -26,6 +26,7 @@
   Endpoint peerAddress;            ///< bound for messages between instances
   Endpoint advertisedAddress;      ///< where peers send them
   std::vector<Endpoint> seeds;     ///< peers to contact first
+  bool isFirstStart = false;       ///< the whole fleet's; no callers yet
   std::uint64_t tagSecret = 0;     ///< equal on all instances
   std::uint64_t seed = 0;          ///< of random choices
   std::uint64_t incarnation = 0;   ///< wall clock of the start, milliseconds
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -352,3 +352,41 @@
   cr_assert(runUntil(context, [&] { return done; }));
   cr_assert_eq(result.status, 0);
 }
+
+namespace {
+
+const char* const kTagSettings =
+  R"({"id":"entry-1","zone":"a","packet_address":"127.0.0.1:0",
+  "ready_address":"127.0.0.1:0","operators_address":"127.0.0.1:0",
+  "peer_address":"127.0.0.1:0","store":"127.0.0.1:1",
+  "fleet_key":"a secret of some length"FIRST_START})";
+
+/// \returns the settings of a daemon before a tagging fabric.
+std::string
+tagSettings(const std::string& firstStart)
+{
+  std::string text = kTagSettings;
+  const std::string mark = "FIRST_START";
+  return text.replace(text.find(mark), mark.size(), firstStart);
+}
+
+}
+
+Test(settings, a_first_start_is_told_by_true_or_false)
+{
+  bool isFirstStart = false;
+  const auto parse = [&](const std::string& text) {
+    return errorOf([&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(settings, parseTagServerSettings(text, "file"));
+      isFirstStart = settings.tag.isFirstStart;
+      return {};
+    });
+  };
+  cr_assert_eq(parse(tagSettings(R"(,"first_start":true)")), "");
+  cr_assert(isFirstStart);
+  cr_assert_eq(parse(tagSettings("")), "");
+  cr_assert_not(isFirstStart);
+  cr_assert_neq(
+    parse(tagSettings(R"(,"first_start":"yes")")).find("$.first_start"),
+    std::string::npos);
+}
