Starting instances pass a first view on among themselves; open flows go on before routes

Change: members tell whether they have a view. A process without one asks any member that has, and is told of members at first contact; who gets its first view offers it to seeds and to members without. Instances with a fast link, named by the new setting link_mbps, read the store at once, the others spread their reads. A large update that was sent to its end makes room for the next at once. Packets with a tag are forwarded as soon as the targets are known, for 3 s at most.

--- a/buckthornwing/src/Config/JsonReader.cpp
+++ b/buckthornwing/src/Config/JsonReader.cpp
@@ -154,6 +154,27 @@
   return number;
 }
 
+double
+JsonReader::decimal(std::string_view name,
+                    double least,
+                    double most,
+                    double fallback)
+{
+  const boost::json::value* value = this->field(name, false);
+  if (value == nullptr) {
+    return fallback;
+  }
+  boost::json::error_code error;
+  const auto number = value->to_number<double>(error);
+  if (error || number < least || number > most) {
+    this->report(name,
+                 "expected a number from " + std::to_string(least) + " to " +
+                   std::to_string(most) + ", found " + describeKind(*value));
+    return fallback;
+  }
+  return number;
+}
+
 std::size_t
 JsonReader::choice(std::string_view name,
                    std::initializer_list<std::string_view> names,
--- a/buckthornwing/src/Config/JsonReader.h
+++ b/buckthornwing/src/Config/JsonReader.h
@@ -39,6 +39,13 @@
                        std::uint64_t most,
                        std::optional<std::uint64_t> fallback = std::nullopt);
 
+  /// \returns the field's number, maybe with a fraction, if it lies within the
+  /// bounds.
+  double decimal(std::string_view name,
+                 double least,
+                 double most,
+                 double fallback);
+
   /// \returns the index of the field's text in \a names.
   std::size_t choice(std::string_view name,
                      std::initializer_list<std::string_view> names,
--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -20,6 +20,7 @@
   writeMember(member, out);
   out.incarnation = static_cast<std::int64_t>(member.incarnation);
   out.stopping = member.stopping;
+  out.hasView = member.hasView;
   return out;
 }
 
@@ -31,6 +32,7 @@
   }
   out.incarnation = static_cast<std::uint64_t>(in.incarnation);
   out.stopping = in.stopping;
+  out.hasView = in.hasView;
   return true;
 }
 
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -25,6 +25,8 @@
 /// \brief A message may wait so long at a link that is choked.
 constexpr MilliDuration kLongestDelay{ 1000 };
 constexpr std::size_t kMembersSent = 8;
+/// \brief Members without a view that are told of a first one at once.
+constexpr std::size_t kOffers = 8;
 constexpr std::size_t kReportsSent = 40;
 /// \brief A peer's report counts for so long.
 constexpr MilliDuration kReportLife{ 2500 };
@@ -41,8 +43,9 @@
               board.settings.advertisedAddress,
               board.settings.incarnation,
               false })
-  , askPeersFirst(askPeersFor(board.settings.isFirstStart,
-                              this->isSeed(),
+  , askPeersFirst(askPeersFor({ board.settings.isFirstStart,
+                                this->isSeed(),
+                                board.settings.linkMegabits },
                               board.random))
 {
 }
@@ -51,6 +54,9 @@
 void
 FleetController::send(const Endpoint& to, Body body)
 {
+  if (this->board.hasView()) {
+    this->members.setHasView();
+  }
   this->outbox.push_back({ to, { this->members.own(), std::move(body) } });
 }
 
@@ -91,12 +97,12 @@
 }
 
 FleetHeartbeat
-FleetController::heartbeat(MilliTime now)
+FleetController::heartbeat(std::span<const KnownMember* const> told,
+                           MilliTime now)
 {
   FleetHeartbeat beat;
   beat.view = this->ownView(now);
-  for (const KnownMember* known : this->members.sampleLive(
-         internal::kMembersSent, now, this->board.random)) {
+  for (const KnownMember* known : told) {
     beat.members.push_back({ known->member, now - known->heardAt });
   }
   beat.reports = this->nextReports(now);
@@ -106,7 +112,21 @@
 void
 FleetController::sendHeartbeat(const Endpoint& to, MilliTime now)
 {
-  this->send(to, this->heartbeat(now));
+  const auto told =
+    this->members.sampleLive(internal::kMembersSent, now, this->board.random);
+  this->send(to, this->heartbeat(told, now));
+}
+
+void
+FleetController::sendOffer(const Endpoint& to, MilliTime now)
+{
+  auto told = this->members.sampleByView(
+    true, internal::kMembersSent, now, this->board.random);
+  if (told.empty()) {
+    told =
+      this->members.sampleLive(internal::kMembersSent, now, this->board.random);
+  }
+  this->send(to, this->heartbeat(told, now));
 }
 
 void
@@ -129,6 +149,8 @@
     this->startedAt = now;
   }
   this->members.forgetSilent(now);
+  this->seekView(now);
+  this->offerView(now);
   this->pushView(now);
   for (IncomingTransfers* fetched :
        { &this->fetchedTargets, &this->fetchedRoutes }) {
@@ -319,12 +341,18 @@
 void
 FleetController::onMessage(const FleetMessage& message, MilliTime now)
 {
+  const bool isNew = this->members.isNew(message.sender);
   KnownMember* member = this->members.hear(message.sender, now);
   if (member == nullptr) {
     return;
   }
   std::visit([&](const auto& body) { this->onBody(body, message.sender, now); },
              message.body);
+  if (std::holds_alternative<FleetHeartbeat>(message.body)) {
+    this->answerStarter(message.sender, isNew, now);
+  }
+  this->seekView(now);
+  this->offerView(now);
 }
 
 void
@@ -341,17 +369,76 @@
   this->board.registry.noteUnwell(MilliTime{ now.ms - body.view.unwellAgo.ms });
   this->confirmView(body.view, now);
   this->askIfOlder(body.view, sender.address, now);
-  this->answerStarter(body.view, sender.address, now);
 }
 
 void
-FleetController::answerStarter(const ViewVersions& peer,
-                               const Endpoint& from,
+FleetController::answerStarter(const FleetMember& peer,
+                               bool isNew,
                                MilliTime now)
 {
-  const bool isStarting = peer.targetsRevision == 0 || peer.routesVersion == 0;
-  if (isStarting && this->board.hasView()) {
-    this->sendHeartbeat(from, now);
+  // One without a view can still tell of members, but only once: two that
+  // start would answer each other for ever.
+  if (!peer.hasView && (this->board.hasView() || isNew)) {
+    this->sendOffer(peer.address, now);
+  }
+}
+
+void
+FleetController::seekView(MilliTime now)
+{
+  const KnownMember* peer = this->members.anyWithView(now, this->board.random);
+  if (peer == nullptr || this->board.hasView()) {
+    return;
+  }
+  if (this->offeredAt.ms == 0) {
+    this->offeredAt = now;
+  }
+  if (!this->board.registry.loaded()) {
+    this->requestTargets(peer->member.address, now);
+  }
+  if (!this->board.routes.loaded()) {
+    this->requestRoutes(peer->member.address, now);
+  }
+}
+
+void
+FleetController::offerView(MilliTime now)
+{
+  if (this->hasOffered || !this->board.hasView()) {
+    return;
+  }
+  this->hasOffered = true;
+  for (const Endpoint& seed : this->board.settings.seeds) {
+    if (seed != this->members.own().address) {
+      this->sendOffer(seed, now);
+    }
+  }
+  for (const KnownMember* peer : this->members.sampleByView(
+         false, internal::kOffers, now, this->board.random)) {
+    this->sendOffer(peer->member.address, now);
+  }
+}
+
+void
+FleetController::requestTargets(const Endpoint& from, MilliTime now)
+{
+  if (now >= this->nextTargetsRequest && !this->fetchedTargets.isFetching()) {
+    this->nextTargetsRequest = now + internal::kRequestPeriod;
+    this->send(
+      from,
+      ViewRequest{
+        ViewContent::targets, this->board.registry.lastChange(), 0, 0 });
+  }
+}
+
+void
+FleetController::requestRoutes(const Endpoint& from, MilliTime now)
+{
+  if (now >= this->nextRoutesRequest && !this->fetchedRoutes.isFetching()) {
+    this->nextRoutesRequest = now + internal::kRequestPeriod;
+    this->send(
+      from,
+      ViewRequest{ ViewContent::routes, this->board.routes.version(), 0, 0 });
   }
 }
 
@@ -388,24 +475,16 @@
   if (isBehind && this->behindSince.ms == 0) {
     this->behindSince = now;
   }
-  if (peer.targetsRevision > 0 && peer.routesVersion > 0 &&
-      this->offeredAt.ms == 0) {
-    this->offeredAt = now;
-  }
   this->newest.targets = std::max(this->newest.targets, peer.targetsRevision);
   this->newest.routes = std::max(this->newest.routes, peer.routesVersion);
   if (targets >= this->newest.targets && routes >= this->newest.routes) {
     this->behindSince = MilliTime{};
   }
-  if (peer.targetsRevision > targets && now >= this->nextTargetsRequest &&
-      !this->fetchedTargets.isFetching()) {
-    this->nextTargetsRequest = now + internal::kRequestPeriod;
-    this->send(from, ViewRequest{ ViewContent::targets, targets, 0, 0 });
+  if (peer.targetsRevision > targets) {
+    this->requestTargets(from, now);
   }
-  if (peer.routesVersion > routes && now >= this->nextRoutesRequest &&
-      !this->fetchedRoutes.isFetching()) {
-    this->nextRoutesRequest = now + internal::kRequestPeriod;
-    this->send(from, ViewRequest{ ViewContent::routes, routes, 0, 0 });
+  if (peer.routesVersion > routes) {
+    this->requestRoutes(from, now);
   }
 }
 
@@ -471,9 +550,15 @@
   if (request.transfer == 0) {
     const auto added = this->served.add(
       this->encodeUpdate(request.content, request.have, now), now);
-    request.transfer = added.value_or(0);
+    if (!added) {
+      // Too many fetch from here; the sender learns of other members.
+      this->sendOffer(sender.address, now);
+      return;
+    }
+    request.transfer = *added;
   }
-  const std::string* encoded = this->served.find(request.transfer, now);
+  const std::string* encoded =
+    this->served.find(request.transfer, request.offset, now);
   if (encoded != nullptr) {
     this->sendWindow(sender.address, *encoded, request);
   }
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -71,7 +71,8 @@
   ViewPoint newest;        ///< that any peer told of
   MilliTime behindSince{}; ///< 0 if no peer has a newer view
   MilliTime startedAt{};   ///< of this process
-  MilliTime offeredAt{};   ///< first that a peer told of a view; 0: none
+  MilliTime offeredAt{};   ///< first time that a member had a view; 0: none
+  bool hasOffered = false; ///< told others of its first view
   MilliDuration askPeersFirst{};
   MilliTime nextConfirmation{};
   std::deque<ViewPoint> points; ///< of the last pushes
@@ -95,9 +96,11 @@
                 const FleetMember& sender,
                 MilliTime now);
   void confirmView(const ViewVersions& peer, MilliTime now);
-  void answerStarter(const ViewVersions& peer,
-                     const Endpoint& from,
-                     MilliTime now);
+  void answerStarter(const FleetMember& peer, bool isNew, MilliTime now);
+  void seekView(MilliTime now);
+  void offerView(MilliTime now);
+  void requestTargets(const Endpoint& from, MilliTime now);
+  void requestRoutes(const Endpoint& from, MilliTime now);
   void askIfOlder(const ViewVersions& peer,
                   const Endpoint& from,
                   MilliTime now);
@@ -110,10 +113,13 @@
   ViewPoint pushBase(MilliTime now) const;
   void notePoint(MilliTime now);
   ViewVersions ownView(MilliTime now) const;
-  FleetHeartbeat heartbeat(MilliTime now);
+  FleetHeartbeat heartbeat(std::span<const KnownMember* const> told,
+                           MilliTime now);
   std::vector<TargetReport> nextReports(MilliTime now);
   void reportMemberChanges(MilliTime now);
   void sendHeartbeat(const Endpoint& to, MilliTime now);
+  /// \brief Tells an instance without a view of members that have one.
+  void sendOffer(const Endpoint& to, MilliTime now);
   void sendWindow(const Endpoint& to,
                   const std::string& encoded,
                   const ViewRequest& request);
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -42,6 +42,14 @@
 {
 }
 
+bool
+FleetMembers::isNew(const FleetMember& member) const
+{
+  const auto found = this->members.find(member.address);
+  return found == this->members.end() ||
+         found->second.heardIncarnation != member.incarnation;
+}
+
 KnownMember*
 FleetMembers::hear(const FleetMember& sender, MilliTime now)
 {
@@ -58,6 +66,7 @@
     known.view = ViewVersions{};
   }
   internal::setMember(known, sender);
+  known.heardIncarnation = sender.incarnation;
   known.heardAt = now;
   return &known;
 }
@@ -128,6 +137,36 @@
   return chosen;
 }
 
+std::vector<const KnownMember*>
+FleetMembers::sampleByView(bool hasView,
+                           std::size_t count,
+                           MilliTime now,
+                           Random& random) const
+{
+  std::vector<const KnownMember*> chosen;
+  for (const auto& [address, known] : this->members) {
+    if (known.member.hasView == hasView && this->isLive(known, now)) {
+      chosen.push_back(&known);
+    }
+  }
+  internal::keepRandom(chosen, count, random);
+  return chosen;
+}
+
+const KnownMember*
+FleetMembers::anyWithView(MilliTime now, Random& random) const
+{
+  std::vector<const KnownMember*> near;
+  std::vector<const KnownMember*> far;
+  for (const auto& [address, known] : this->members) {
+    if (known.member.hasView && this->isLive(known, now)) {
+      (known.member.zone == this->self.zone ? near : far).push_back(&known);
+    }
+  }
+  const auto& chosen = near.empty() ? far : near;
+  return chosen.empty() ? nullptr : chosen[random.below(chosen.size())];
+}
+
 std::vector<const KnownMember*>
 FleetMembers::sampleLive(std::size_t count, MilliTime now, Random& random) const
 {
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -22,7 +22,9 @@
 {
   FleetMember member;
   std::uint64_t order = 0; ///< place among all members, alike at all of them
-  MilliTime heardAt{};     ///< last sign of life, here or at any peer
+  /// Of the run that was last heard directly; 0: none yet.
+  std::uint64_t heardIncarnation = 0;
+  MilliTime heardAt{}; ///< last sign of life, here or at any peer
   ViewVersions view;
   bool wasLive = false; ///< when changes were last taken
   boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
@@ -52,6 +54,9 @@
 
   explicit FleetMembers(FleetMember newSelf);
 
+  /// \returns whether a member was never heard before in its present run.
+  bool isNew(const FleetMember& member) const;
+
   /// \brief Notes a message of a member.
   /// \returns the member, or null if it is this instance itself
   KnownMember* hear(const FleetMember& sender, MilliTime now);
@@ -77,6 +82,17 @@
                                              MilliTime now,
                                              Random& random) const;
 
+  /// \returns up to \a count random live members that have a view, or have
+  /// none.
+  std::vector<const KnownMember*> sampleByView(bool hasView,
+                                               std::size_t count,
+                                               MilliTime now,
+                                               Random& random) const;
+
+  /// \returns a random live member that has a view, of the own zone if any of
+  /// that has one; null if there is none.
+  const KnownMember* anyWithView(MilliTime now, Random& random) const;
+
   /// \returns this instance's place among the live members of its zone, in an
   /// order that all of them compute alike; 0 is first.
   std::size_t rankInZone(MilliTime now) const;
@@ -99,6 +115,7 @@
 
   const FleetMember& own() const { return this->self; }
   void setStopping() { this->self.stopping = true; }
+  void setHasView() { this->self.hasView = true; }
   std::map<Endpoint, KnownMember>& all() { return this->members; }
   const std::map<Endpoint, KnownMember>& all() const { return this->members; }
 
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -20,6 +20,7 @@
   Endpoint address;
   std::uint64_t incarnation = 0; ///< differs for each run of a process
   bool stopping = false;
+  bool hasView = false; ///< of targets and routes, which it passes on
 
   bool operator==(const FleetMember&) const = default;
 };
--- a/buckthornwing/src/Fleet/StoreReaders.cpp
+++ b/buckthornwing/src/Fleet/StoreReaders.cpp
@@ -10,7 +10,12 @@
 constexpr MilliDuration kAskPeersFirst{ 80 };
 /// \brief Over this time the instances of a first start begin to read, unless
 /// a view reaches them before.
-constexpr std::uint64_t kFirstStartSpreadMs = 2000;
+constexpr double kFirstStartSpreadMs = 2000;
+/// \brief Who has such a link is a source for others and reads at once.
+constexpr double kFastLinkMegabits = 100;
+/// \brief What others spread their reads over, for each megabit a second.
+constexpr double kSpreadMsPerMegabit = 25;
+constexpr double kMostSpreadMs = 500;
 /// \brief A peer that told of a view has sent parts of it within this time.
 constexpr MilliDuration kPeerPatience{ 500 };
 /// \brief Even a fetch that makes progress is not waited for any longer.
@@ -29,6 +34,20 @@
 /// \brief Who knows for so long that peers have newer views reads the store.
 constexpr MilliDuration kLongestBehind{ 1000 };
 
+/// \returns the time over which instances in a situation begin to read.
+double
+spreadMs(const StarterSituation& situation)
+{
+  const bool isSource = situation.isSeed || situation.linkMegabits == 0 ||
+                        situation.linkMegabits >= kFastLinkMegabits;
+  if (situation.isFirstStart && !situation.isSeed) {
+    return kFirstStartSpreadMs;
+  }
+  return isSource ? 0
+                  : std::min(kMostSpreadMs,
+                             kSpreadMsPerMegabit * situation.linkMegabits);
+}
+
 bool
 readsAtStart(const StoreReaderSituation& situation)
 {
@@ -73,13 +92,11 @@
 }
 
 MilliDuration
-askPeersFor(bool isFirstStart, bool isSeed, Random& random)
+askPeersFor(const StarterSituation& situation, Random& random)
 {
-  const bool isPatient = isFirstStart && !isSeed;
-  const std::uint64_t spread =
-    isPatient ? random.below(internal::kFirstStartSpreadMs) : 0;
+  const double spread = internal::spreadMs(situation);
   return internal::kAskPeersFirst +
-         MilliDuration{ static_cast<std::int64_t>(spread) };
+         MilliDuration{ static_cast<std::int64_t>(spread * random.unit()) };
 }
 
 }
--- a/buckthornwing/src/Fleet/StoreReaders.h
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -38,12 +38,23 @@
 bool
 shouldReadStore(const StoreReaderSituation& situation);
 
+/// \brief What decides how long a process that starts waits for peers.
+struct StarterSituation
+{
+  bool isFirstStart = false; ///< of the whole fleet: no caller waits
+  bool isSeed = false;       ///< peers ask this instance first
+  double linkMegabits = 0;   ///< a second, of the own link; 0: unknown
+};
+
 /// \returns how long a process that starts waits for any peer's view.
-/// \param isFirstStart all instances start for the first time and no caller
-/// waits: few of them read, the others have time to learn the view from those
-/// \param isSeed peers ask this instance first
+///
+/// Load pattern: all instances lost power and start within half a second; if
+/// all read, the store's link is what they wait for. Those with fast links
+/// read at once and pass the view on. The others spread their reads, the
+/// slower their link the less: over a slow link a peer is not faster than the
+/// store. At a first start nearly all have time to learn the view from peers.
 MilliDuration
-askPeersFor(bool isFirstStart, bool isSeed, Random& random);
+askPeersFor(const StarterSituation& situation, Random& random);
 
 }
 
--- a/buckthornwing/src/Fleet/ViewTransfer.cpp
+++ b/buckthornwing/src/Fleet/ViewTransfer.cpp
@@ -30,7 +30,7 @@
   });
   const auto large =
     std::count_if(this->kept.begin(), this->kept.end(), [](const Kept& each) {
-      return each.encoded.size() > kViewWindowBytes;
+      return each.isLarge();
     });
   const bool isLarge = encoded.size() > kViewWindowBytes;
   if (isLarge && static_cast<std::size_t>(large) >= kMostLargeTransfers) {
@@ -41,11 +41,16 @@
 }
 
 const std::string*
-OutgoingTransfers::find(std::uint64_t transfer, MilliTime now)
+OutgoingTransfers::find(std::uint64_t transfer,
+                        std::uint32_t offset,
+                        MilliTime now)
 {
   for (Kept& each : this->kept) {
     if (each.id == transfer) {
       each.usedAt = now;
+      each.isEnding =
+        each.isEnding ||
+        std::size_t{ offset } + kViewWindowBytes >= each.encoded.size();
       return &each.encoded;
     }
   }
--- a/buckthornwing/src/Fleet/ViewTransfer.h
+++ b/buckthornwing/src/Fleet/ViewTransfer.h
@@ -35,8 +35,12 @@
   /// \returns its name; nothing if too many are being fetched
   std::optional<std::uint64_t> add(std::string encoded, MilliTime now);
 
+  /// \brief Notes that a receiver asks for the window at an offset. With the
+  /// last one a large update no longer keeps others waiting.
   /// \returns the update, or null if it is not kept any more.
-  const std::string* find(std::uint64_t transfer, MilliTime now);
+  const std::string* find(std::uint64_t transfer,
+                          std::uint32_t offset,
+                          MilliTime now);
 
 private:
   /// More would only share the link and all be late.
@@ -48,6 +52,12 @@
     std::uint64_t id = 0;
     std::string encoded;
     MilliTime usedAt{};
+    bool isEnding = false; ///< its last window was sent
+
+    bool isLarge() const
+    {
+      return this->encoded.size() > kViewWindowBytes && !this->isEnding;
+    }
   };
 
   std::deque<Kept> kept;
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -8,6 +8,7 @@
   3: string address
   4: i64 incarnation
   5: bool stopping
+  6: bool hasView
 }
 
 // A member that the sender knows, and when it was last heard by anyone.
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -7,6 +7,7 @@
 namespace internal {
 
 constexpr std::uint64_t kMostStopSeconds = 3600;
+constexpr double kMostLinkMegabits = 1'000'000;
 /// \brief Separates the tag secret from other uses of the fleet key.
 constexpr std::uint64_t kTagSecretDomain = 0x7461670000000001ULL;
 
@@ -32,6 +33,8 @@
   settings.logLevel = static_cast<TagLogLevel>(
     reader.choice("log_level", { "changes", "decisions", "packets" }, 1));
   settings.tag.seeds = parseSeeds(reader, problems);
+  settings.tag.linkMegabits =
+    reader.decimal("link_mbps", 0, kMostLinkMegabits, 0);
   settings.tag.isFirstStart = reader.flag("first_start", false);
   return settings;
 }
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -6,6 +6,9 @@
 /// \brief A view confirmed within this time may say that something isn't
 /// there; an older one only what is.
 constexpr MilliDuration kFreshFor{ 3000 };
+/// \brief So long a fresh process forwards packets of open flows before it
+/// knows the routes; later they might be of a route that was dropped.
+constexpr MilliDuration kWithoutRoutesFor{ 3000 };
 
 }
 
@@ -33,8 +36,7 @@
   const FlowId id = flowIdOf(packet.flow, this->board.settings.tagSecret);
   SteeringDecision decision;
   if (!this->board.hasView()) {
-    decision.outcome = SteeringOutcome::hold;
-    decision.reason = SteeringReason::noView;
+    decision = this->decideWithoutRoutes(packet, now);
   } else if (packet.opens) {
     decision = this->decideOpening(packet, id, now);
   } else {
@@ -43,6 +45,33 @@
   return this->finish(packet, id, decision, now);
 }
 
+SteeringDecision
+SteeringController::decideWithoutRoutes(const CallerPacket& packet,
+                                        MilliTime now)
+{
+  SteeringDecision decision;
+  decision.outcome = SteeringOutcome::hold;
+  decision.reason = SteeringReason::noView;
+  const bool mayForward =
+    this->board.registry.loaded() && !this->board.routes.loaded() &&
+    now - this->board.registry.loadedAt() <= internal::kWithoutRoutesFor;
+  if (!mayForward || packet.opens || packet.tag.bits == 0) {
+    return decision;
+  }
+  const TargetSlot target =
+    this->board.tags.find(this->board.registry, packet.tag, packet.flow);
+  const bool isListed =
+    target != kNoTargetSlot &&
+    this->board.registry.at(target).presence != TargetPresence::gone;
+  if (isListed) {
+    decision.outcome = SteeringOutcome::forward;
+    decision.reason = SteeringReason::tagged;
+    decision.tag = packet.tag;
+    decision.target = target;
+  }
+  return decision;
+}
+
 SteeringDecision
 SteeringController::finish(const CallerPacket& packet,
                            FlowId id,
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -39,6 +39,10 @@
   UnknownTargets unknownTargets;
 
   SteeringDecision choose(const CallerPacket& packet, MilliTime now);
+  /// \brief Carries open flows on as soon as the targets are known. The tag
+  /// alone names their target; routes may take much longer to load.
+  SteeringDecision decideWithoutRoutes(const CallerPacket& packet,
+                                       MilliTime now);
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
                                  MilliTime now);
--- a/buckthornwing/src/Steering/TagSettings.h
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -27,6 +27,7 @@
   Endpoint advertisedAddress;      ///< where peers send them
   std::vector<Endpoint> seeds;     ///< peers to contact first
   bool isFirstStart = false;       ///< the whole fleet's; no callers yet
+  double linkMegabits = 0;         ///< a second, of the own link; 0: unknown
   std::uint64_t tagSecret = 0;     ///< equal on all instances
   std::uint64_t seed = 0;          ///< of random choices
   std::uint64_t incarnation = 0;   ///< wall clock of the start, milliseconds
--- a/test/tag/fleet_codec.cpp
+++ b/test/tag/fleet_codec.cpp
@@ -137,6 +137,21 @@
   cr_assert(outgoing.add(large, MilliTime{ 2000 }).has_value());
 }
 
+/// A server of large updates took four of them in 400 ms, however fast its
+/// link.
+Test(fleet_codec, an_update_that_was_sent_makes_room_for_the_next)
+{
+  OutgoingTransfers outgoing;
+  const std::string large(kViewWindowBytes + 1, 'x');
+  for (int i = 0; i < 10; ++i) {
+    const auto transfer = outgoing.add(large, MilliTime{ 5 });
+    cr_assert(transfer.has_value());
+    cr_assert_not_null(outgoing.find(*transfer, 0, MilliTime{ 6 }));
+    cr_assert_not_null(
+      outgoing.find(*transfer, kViewWindowBytes, MilliTime{ 7 }));
+  }
+}
+
 Test(fleet_codec, a_part_that_claims_too_much_is_refused)
 {
   IncomingTransfers transfers(ViewContent::routes);
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -21,6 +21,34 @@
   cr_assert(decision.reason == SteeringReason::noView);
 }
 
+/// After a loss of power routes took 1.2 s longer to load than targets, while
+/// callers of open flows waited.
+Test(steering, open_flows_go_on_before_the_routes_are_known)
+{
+  OneEngine before;
+  const auto placed = before.open(flowOf(1));
+  TagEngine fresh(OneEngine::settings({}, "entry-2", 2));
+  const MilliTime now = before.now;
+  const std::vector<TargetChange> targets{
+    listed(1, 1), listed(2, 2), listed(3, 3), listed(4, 4)
+  };
+  fresh.onTargetListing(100, targets, now, now);
+  cr_assert_not(fresh.ready());
+  const auto onTag = fresh.onPacket(later(flowOf(1), placed.tag, 1001, 1), now);
+  cr_assert(onTag.outcome == SteeringOutcome::forward);
+  cr_assert_eq(fresh.board().registry.at(onTag.target).record.id,
+               before.idOf(placed));
+  cr_assert(fresh.onPacket(opening(flowOf(2)), now).outcome ==
+            SteeringOutcome::hold);
+  cr_assert(
+    fresh.onPacket(later(flowOf(3), placed.tag, 1001, 1), now).outcome ==
+    SteeringOutcome::hold);
+  const MilliTime late = now + 3100_ms;
+  cr_assert(
+    fresh.onPacket(later(flowOf(1), placed.tag, 1101, 1), late).outcome ==
+    SteeringOutcome::hold);
+}
+
 Test(steering, copies_of_an_opening_go_to_one_target_with_one_tag)
 {
   OneEngine world;
--- a/test/tag/store_readers.cpp
+++ b/test/tag/store_readers.cpp
@@ -78,7 +78,7 @@
 {
   StoreReaderSituation situation;
   Random random{ 1 };
-  situation.askPeersFor = askPeersFor(false, false, random);
+  situation.askPeersFor = askPeersFor({}, random);
   cr_assert_not(shouldReadStore(situation));
   situation.sinceStart = 100_ms;
   cr_assert(shouldReadStore(situation), "nobody has a view");
@@ -105,10 +105,27 @@
   Random random{ 1 };
   int early = 0;
   for (int i = 0; i < kInstances; ++i) {
-    const MilliDuration wait = askPeersFor(true, false, random);
+    const MilliDuration wait = askPeersFor({ true, false, 20 }, random);
     cr_assert_leq(wait.ms, 2100);
     early += wait < 400_ms ? 1 : 0;
   }
   cr_assert_leq(early, kInstances / 4);
-  cr_assert_leq(askPeersFor(true, true, random).ms, 100);
+  cr_assert_leq(askPeersFor({ true, true, 20 }, random).ms, 100);
+}
+
+/// After a loss of power 295 instances read 590 KB each and waited 1.3 s for
+/// the store's link.
+Test(store_readers, after_a_loss_of_power_fast_links_read_first)
+{
+  constexpr int kInstances = 300;
+  Random random{ 1 };
+  int early = 0;
+  for (int i = 0; i < kInstances; ++i) {
+    const MilliDuration wait = askPeersFor({ false, false, 20 }, random);
+    cr_assert_leq(wait.ms, 600);
+    early += wait < 180_ms ? 1 : 0;
+  }
+  cr_assert_leq(early, kInstances / 4);
+  cr_assert_leq(askPeersFor({ false, false, 200 }, random).ms, 100);
+  cr_assert_leq(askPeersFor({ false, false, 2 }, random).ms, 150);
 }
