--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -57,10 +57,6 @@
   TargetHealth& health = this->board.healthFor(target);
   if (hasFlows) {
     this->suspect(target, now, "a peer found it dead");
-    // The peer has compared with a target that answers; one probe of our own
-    // is left to do.
-    health.failedProbes =
-      std::max<std::uint8_t>(health.failedProbes, internal::kSilentProbes - 1);
   } else if (health.state == HealthState::trusted) {
     health.avoidUntil = now + internal::kPeerVerdictLife;
   }
--- a/test/tag/health.cpp
+++ b/test/tag/health.cpp
@@ -121,33 +121,6 @@
   cr_assert_not(world.engine.board().isAvoided(other, world.now + 2_s));
 }
 
-/// A peer's verdict was probed twice more, half a second in which callers sent
-/// requests to a dead target.
-Test(health, after_a_peer_found_it_dead_one_silent_probe_is_proof)
-{
-  OneEngine world;
-  const auto placed = world.open(flowOf(1));
-  FleetMessage message;
-  message.sender.id = "entry-2";
-  message.sender.zone = "a";
-  message.sender.address = *parseEndpoint("127.0.0.1:7002");
-  FleetHeartbeat beat;
-  beat.reports.push_back(
-    { world.engine.board().registry.at(placed.target).record.number,
-      1,
-      1,
-      1,
-      1000_ms,
-      true });
-  message.body = beat;
-  world.engine.onFleetMessage(message, world.now);
-  const auto probes = world.engine.takeProbes();
-  cr_assert_eq(probes.size(), 1);
-  world.engine.onProbeResult(probes[0], ProbeResult::silent, world.now);
-  cr_assert(world.engine.board().healthState(placed.target) ==
-            HealthState::dead);
-}
-
 Test(health, a_refused_probe_or_another_target_at_the_address_is_proof)
 {
   for (const ProbeResult result :
