--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -20,15 +20,19 @@
   this->countUnreadable(listed);
   const bool isFirst = !this->board.registry.loaded();
   const auto slots = this->board.registry.applySnapshot(asOf, listed, now);
-  this->onChanged(slots, now);
-  if (isFirst) {
-    this->board.events.push_back(
-      { TagEventKind::registryLoaded,
-        {},
-        asOf,
-        0,
-        std::to_string(listed.size()) + " targets" });
+  if (!isFirst) {
+    this->onChanged(slots, now);
+    return;
   }
+  // One line tells of all targets of the first list.
+  const std::size_t eventsBefore = this->board.events.size();
+  this->onChanged(slots, now);
+  this->board.events.resize(eventsBefore);
+  this->board.events.push_back({ TagEventKind::registryLoaded,
+                                 {},
+                                 asOf,
+                                 0,
+                                 std::to_string(listed.size()) + " targets" });
 }
 
 void
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -260,3 +260,21 @@
   }
   cr_assert_leq(ambiguous, 8);
 }
+
+/// 600 lines at each start pushed other lines out of the log's budget.
+Test(views, a_first_list_of_targets_leaves_one_line)
+{
+  TagEngine engine(OneEngine::settings({}, "entry-1", 1));
+  std::vector<TargetChange> targets;
+  for (std::uint64_t i = 1; i <= 600; ++i) {
+    targets.push_back(listed(i, i));
+  }
+  const MilliTime now{ 100000 };
+  engine.onTargetListing(600, targets, now, now);
+  const auto events = engine.takeEvents();
+  cr_assert_eq(events.size(), 1);
+  cr_assert(events[0].kind == TagEventKind::registryLoaded);
+  const TargetChange left = gone(1, 700);
+  engine.onTargetChanges(700, std::span(&left, 1), now, now);
+  cr_assert_eq(engine.takeEvents().size(), 1);
+}
