FleetController split by job: messages, load reports, view exchange

700 lines became four classes: FleetMessenger writes this instance's messages, LoadReports keeps what instances tell of targets, ViewExchange keeps views as new as any peer's, FleetController keeps heartbeats, membership and who reads the store.

--- /dev/null
+++ b/buckthornwing/src/Fleet/LoadReports.cpp
@@ -0,0 +1,90 @@
+#include "LoadReports.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr std::size_t kReportsSent = 24;
+/// \brief A peer's report counts for so long.
+constexpr MilliDuration kReportLife{ 2500 };
+
+}
+
+std::vector<TargetReport>
+LoadReports::next(MilliTime now)
+{
+  std::vector<TargetReport> reports;
+  const std::size_t count = this->board.registry.targets().size();
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto slot = static_cast<TargetSlot>((this->nextTarget + i) % count);
+    const TargetLoad& load = this->board.observer.load(slot);
+    const bool isDead = this->board.healthState(slot) == HealthState::dead;
+    if (load.flows == 0 && load.busy == 0 && !isDead) {
+      continue;
+    }
+    if (reports.size() == internal::kReportsSent) {
+      this->nextTarget = slot;
+      break;
+    }
+    reports.push_back({ this->board.registry.at(slot).record.number,
+                        load.flows,
+                        load.busy,
+                        load.silentFlows,
+                        now - load.progressAt,
+                        isDead });
+  }
+  return reports;
+}
+
+void
+LoadReports::take(KnownMember& member,
+                  const FleetHeartbeat& body,
+                  MilliTime now)
+{
+  for (const TargetReport& report : body.reports) {
+    member.reports[report.number] = ReceivedReport{ report, now };
+    if (report.dead && member.member.zone == this->board.settings.zone) {
+      this->foundDead.push_back(report.number);
+    }
+  }
+}
+
+void
+LoadReports::sum(FleetMembers& members, MilliTime now)
+{
+  this->board.zonePeers = members.liveInZone(now);
+  const std::size_t count = this->board.registry.targets().size();
+  for (TargetSlot slot = 0; slot < count; ++slot) {
+    TargetLoad& load = this->board.observer.loadFor(slot);
+    load.peerFlows = 0;
+    load.peerBusy = 0;
+    load.flowsAtReport = load.flows;
+    load.busyAtReport = load.busy;
+  }
+  for (auto& [address, known] : members.all()) {
+    this->add(known, now);
+  }
+}
+
+void
+LoadReports::add(KnownMember& member, MilliTime now)
+{
+  boost::unordered::erase_if(member.reports, [now](const auto& entry) {
+    return now - entry.second.at > internal::kReportLife;
+  });
+  for (const auto& [number, received] : member.reports) {
+    const TargetSlot slot = this->board.registry.findNumber(number);
+    if (slot == kNoTargetSlot) {
+      continue;
+    }
+    TargetLoad& load = this->board.observer.loadFor(slot);
+    load.peerFlows += received.report.flows;
+    load.peerBusy += received.report.busy;
+    const MilliTime progress{ received.at.ms -
+                              received.report.sinceProgress.ms };
+    load.peerProgressAt = std::max(load.peerProgressAt, progress);
+  }
+}
+
+}
--- /dev/null
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -0,0 +1,333 @@
+#include "ViewExchange.h"
+
+#include "FleetCodec.h"
+
+#include <algorithm>
+
+namespace buckthornwing {
+namespace internal {
+
+constexpr MilliDuration kRequestPeriod{ 150 };
+/// \brief News go to a few members at once, each of which passes them on.
+constexpr std::size_t kPushPeers = 3;
+constexpr MilliDuration kPushPeriod{ 100 };
+/// \brief A push holds all news of this time, for members that missed some.
+constexpr MilliDuration kPushOverlap{ 800 };
+constexpr std::size_t kMostPushedBytes = 4800;
+/// \brief A message may wait so long at a link that is choked.
+constexpr MilliDuration kLongestDelay{ 1000 };
+/// \brief Members without a view that are told of a first one at once.
+constexpr std::size_t kOffers = 8;
+
+}
+
+ViewExchange::ViewExchange(TagBoard& board,
+                           ViewController& view,
+                           FleetMembers& members,
+                           FleetMessenger& messenger)
+  : board(board)
+  , view(view)
+  , members(members)
+  , messenger(messenger)
+{
+}
+
+void
+ViewExchange::tick(MilliTime now)
+{
+  this->seek(now);
+  this->offer(now);
+  for (IncomingTransfers* fetched :
+       { &this->fetchedTargets, &this->fetchedRoutes }) {
+    for (const auto& [sender, request] : fetched->overdue(now)) {
+      this->messenger.send(sender, request);
+    }
+  }
+}
+
+void
+ViewExchange::seek(MilliTime now)
+{
+  const KnownMember* peer = this->members.anyWithView(now, this->board.random);
+  if (peer == nullptr || this->board.hasView()) {
+    return;
+  }
+  if (this->offeredAt.ms == 0) {
+    this->offeredAt = now;
+  }
+  if (!this->board.registry.loaded()) {
+    this->requestTargets(peer->member.address, now);
+  }
+  if (!this->board.routes.loaded()) {
+    this->requestRoutes(peer->member.address, now);
+  }
+}
+
+void
+ViewExchange::offer(MilliTime now)
+{
+  if (this->hasOffered || !this->board.hasView()) {
+    return;
+  }
+  this->hasOffered = true;
+  for (const Endpoint& seed : this->board.settings.seeds) {
+    if (seed != this->members.own().address) {
+      this->messenger.sendOffer(seed, now);
+    }
+  }
+  for (const KnownMember* peer : this->members.sampleByView(
+         false, internal::kOffers, now, this->board.random)) {
+    this->messenger.sendOffer(peer->member.address, now);
+  }
+}
+
+void
+ViewExchange::requestTargets(const Endpoint& from, MilliTime now)
+{
+  if (now >= this->nextTargetsRequest && !this->fetchedTargets.isFetching()) {
+    this->nextTargetsRequest = now + internal::kRequestPeriod;
+    this->messenger.send(
+      from,
+      ViewRequest{
+        ViewContent::targets, this->board.registry.lastChange(), 0, 0 });
+  }
+}
+
+void
+ViewExchange::requestRoutes(const Endpoint& from, MilliTime now)
+{
+  if (now >= this->nextRoutesRequest && !this->fetchedRoutes.isFetching()) {
+    this->nextRoutesRequest = now + internal::kRequestPeriod;
+    this->messenger.send(
+      from,
+      ViewRequest{ ViewContent::routes, this->board.routes.version(), 0, 0 });
+  }
+}
+
+void
+ViewExchange::confirm(const ViewVersions& peer, MilliTime now)
+{
+  // What a peer's older or equal view was confirmed by holds for this one. A
+  // peer without a view has no age to tell.
+  if (peer.targetsRevision > 0 &&
+      peer.targetsRevision <= this->board.registry.lastChange()) {
+    const MilliTime confirmedAt{ now.ms - peer.targetsAge.ms };
+    this->board.targetsConfirmedAt =
+      std::max(this->board.targetsConfirmedAt, confirmedAt);
+    const MilliTime certainAt{ confirmedAt.ms - internal::kLongestDelay.ms };
+    this->board.targetsCertainAt =
+      std::max(this->board.targetsCertainAt, certainAt);
+  }
+  if (peer.routesVersion > 0 &&
+      peer.routesVersion <= this->board.routes.version()) {
+    this->board.routesConfirmedAt = std::max(
+      this->board.routesConfirmedAt, MilliTime{ now.ms - peer.routesAge.ms });
+  }
+}
+
+void
+ViewExchange::askIfOlder(const ViewVersions& peer,
+                         const Endpoint& from,
+                         MilliTime now)
+{
+  const std::uint64_t targets = this->board.registry.lastChange();
+  const std::uint64_t routes = this->board.routes.version();
+  const bool isBehind =
+    peer.targetsRevision > targets || peer.routesVersion > routes;
+  if (isBehind && this->behindSince.ms == 0) {
+    this->behindSince = now;
+  }
+  this->newest.targets = std::max(this->newest.targets, peer.targetsRevision);
+  this->newest.routes = std::max(this->newest.routes, peer.routesVersion);
+  if (targets >= this->newest.targets && routes >= this->newest.routes) {
+    this->behindSince = MilliTime{};
+  }
+  if (peer.targetsRevision > targets) {
+    this->requestTargets(from, now);
+  }
+  if (peer.routesVersion > routes) {
+    this->requestRoutes(from, now);
+  }
+}
+
+std::string
+ViewExchange::encodeUpdate(ViewContent content,
+                           std::uint64_t since,
+                           MilliTime now) const
+{
+  ViewUpdate update;
+  update.view = this->messenger.ownView(now);
+  if (content == ViewContent::targets) {
+    update.targetsBase = since;
+    update.targets = this->board.registry.changesSince(since, update.isFull);
+  } else if (this->board.routes.version() > since) {
+    update.routes = this->board.routes.changesSince(since);
+  }
+  return encodeViewUpdate(update);
+}
+
+void
+ViewExchange::sendWindow(const Endpoint& to,
+                         const std::string& encoded,
+                         const ViewRequest& request)
+{
+  for (ViewPart& part :
+       cutWindow(encoded, request.content, request.transfer, request.offset)) {
+    this->messenger.send(to, std::move(part));
+  }
+}
+
+void
+ViewExchange::pushContent(ViewContent content,
+                          std::uint64_t base,
+                          bool isReading,
+                          MilliTime now)
+{
+  std::vector<const KnownMember*> peers =
+    this->members.sample(true, internal::kPushPeers, this->board.random);
+  if (isReading) {
+    const auto far = this->members.oneInEachOtherZone(now, this->board.random);
+    peers.insert(peers.end(), far.begin(), far.end());
+  }
+  const std::string encoded = this->encodeUpdate(content, base, now);
+  const bool isSmall = encoded.size() <= internal::kMostPushedBytes;
+  const auto transfer = isSmall ? this->served.add(encoded, now) : std::nullopt;
+  for (const KnownMember* peer : peers) {
+    // Large news are only announced; whoever lacks them fetches them.
+    if (transfer) {
+      this->sendWindow(
+        peer->member.address, encoded, { content, base, *transfer, 0 });
+    } else {
+      this->messenger.sendHeartbeat(peer->member.address, now);
+    }
+  }
+}
+
+ViewExchange::ViewPoint
+ViewExchange::pushBase(MilliTime now) const
+{
+  ViewPoint base;
+  for (const ViewPoint& point : this->points) {
+    if (now - point.at >= internal::kPushOverlap) {
+      base = point;
+    }
+  }
+  return base;
+}
+
+void
+ViewExchange::notePoint(MilliTime now)
+{
+  const ViewPoint point{ now,
+                         this->board.registry.lastChange(),
+                         this->board.routes.version() };
+  this->points.push_back(point);
+  while (this->points.size() > 1 &&
+         now - this->points[1].at >= internal::kPushOverlap) {
+    this->points.pop_front();
+  }
+}
+
+void
+ViewExchange::push(bool isReading, MilliTime now)
+{
+  const std::uint64_t targets = this->board.registry.lastChange();
+  const std::uint64_t routes = this->board.routes.version();
+  const bool hasNewTargets = targets != this->pushed.targets;
+  const bool hasNewRoutes = routes != this->pushed.routes;
+  if (!this->board.hasView() || (!hasNewTargets && !hasNewRoutes) ||
+      now < this->nextPush) {
+    return;
+  }
+  this->nextPush = now + internal::kPushPeriod;
+  const ViewPoint base = this->pushBase(now);
+  this->pushed = ViewPoint{ now, targets, routes };
+  this->notePoint(now);
+  if (base.targets == 0) {
+    return;
+  }
+  if (hasNewTargets) {
+    this->pushContent(ViewContent::targets, base.targets, isReading, now);
+  }
+  if (hasNewRoutes) {
+    this->pushContent(ViewContent::routes, base.routes, isReading, now);
+  }
+}
+
+void
+ViewExchange::onRequest(const ViewRequest& body,
+                        const FleetMember& sender,
+                        MilliTime now)
+{
+  if (!this->board.hasView()) {
+    return;
+  }
+  ViewRequest request = body;
+  if (request.transfer == 0) {
+    const auto added = this->served.add(
+      this->encodeUpdate(request.content, request.have, now), now);
+    if (!added) {
+      // Too many fetch from here; the sender learns of other members.
+      this->messenger.sendOffer(sender.address, now);
+      return;
+    }
+    request.transfer = *added;
+  }
+  const std::string* encoded =
+    this->served.find(request.transfer, request.offset, now);
+  if (encoded != nullptr) {
+    this->sendWindow(sender.address, *encoded, request);
+  }
+}
+
+void
+ViewExchange::onPart(const ViewPart& body,
+                     const FleetMember& sender,
+                     MilliTime now)
+{
+  IncomingTransfers& fetched = body.content == ViewContent::targets
+                                 ? this->fetchedTargets
+                                 : this->fetchedRoutes;
+  const auto progress = fetched.add(sender.address, body, now);
+  if (progress.next) {
+    this->messenger.send(sender.address, *progress.next);
+  }
+  if (!progress.whole) {
+    return;
+  }
+  const std::string& encoded = *progress.whole;
+  const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded.data()),
+                        encoded.size());
+  const auto update = decodeViewUpdate(bytes);
+  if (!update) {
+    ++this->board.counters.malformedUpdates;
+    return;
+  }
+  this->onUpdate(*update, body.content, sender, now);
+}
+
+void
+ViewExchange::onUpdate(const ViewUpdate& update,
+                       ViewContent content,
+                       const FleetMember& sender,
+                       MilliTime now)
+{
+  const std::uint64_t revision = update.view.targetsRevision;
+  const bool isNewer = revision > this->board.registry.lastChange();
+  const bool continues =
+    !update.isFull && update.targetsBase <= this->board.registry.lastChange();
+  if (content == ViewContent::targets && update.isFull && isNewer) {
+    this->view.onSnapshot(revision, update.targets, now);
+  } else if (content == ViewContent::targets && continues) {
+    this->view.onChanges(revision, update.targets, now);
+  }
+  if (update.routes) {
+    this->view.onRouteChanges(*update.routes, now);
+    this->board.routesRevision =
+      std::max(this->board.routesRevision, update.view.routesRevision);
+  }
+  this->confirm(update.view, now);
+  this->askIfOlder(update.view, sender.address, now);
+}
+
+}
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -167,7 +167,7 @@
 std::vector<OutgoingFleetMessage>
 TagEngine::takeOutgoing()
 {
-  return std::exchange(this->fleet.outgoing(), {});
+  return this->fleet.takeOutgoing();
 }
 
 std::vector<TagEvent>
