--- a/buckthornwing/src/Fleet/StoreReaders.cpp
+++ b/buckthornwing/src/Fleet/StoreReaders.cpp
@@ -7,7 +7,7 @@
 
 /// \brief A process that starts hears from a peer within this time, if one has
 /// a view: some round trips between zones.
-constexpr MilliDuration kAskPeersFirst{ 80 };
+constexpr MilliDuration kAskPeersFirst{ 40 };
 /// \brief Over this time the instances of a first start begin to read, unless
 /// a view reaches them before.
 constexpr double kFirstStartSpreadMs = 2000;
