--- a/buckthornwing/src/Fleet/StoreReaders.cpp
+++ b/buckthornwing/src/Fleet/StoreReaders.cpp
@@ -14,8 +14,8 @@
 /// \brief Who has such a link is a source for others and reads at once.
 constexpr double kFastLinkMegabits = 100;
 /// \brief What others spread their reads over, for each megabit a second.
-constexpr double kSpreadMsPerMegabit = 25;
-constexpr double kMostSpreadMs = 500;
+constexpr double kSpreadMsPerMegabit = 50;
+constexpr double kMostSpreadMs = 1000;
 /// \brief A peer that told of a view has sent parts of it within this time.
 constexpr MilliDuration kPeerPatience{ 500 };
 /// \brief Even a fetch that makes progress is not waited for any longer.
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -8,6 +8,8 @@
 namespace internal {
 
 constexpr MilliDuration kRequestPeriod{ 150 };
+/// \brief One without a view asks the next member sooner.
+constexpr MilliDuration kSeekPeriod{ 50 };
 /// \brief News go to a few members at once, each of which passes them on.
 constexpr std::size_t kPushPeers = 3;
 constexpr MilliDuration kPushPeriod{ 100 };
@@ -81,11 +83,18 @@
   }
 }
 
+MilliDuration
+ViewExchange::requestPeriod() const
+{
+  return this->board.hasView() ? internal::kRequestPeriod
+                               : internal::kSeekPeriod;
+}
+
 void
 ViewExchange::requestTargets(const Endpoint& from, MilliTime now)
 {
   if (now >= this->nextTargetsRequest && !this->fetchedTargets.isFetching()) {
-    this->nextTargetsRequest = now + internal::kRequestPeriod;
+    this->nextTargetsRequest = now + this->requestPeriod();
     this->messenger.send(
       from,
       ViewRequest{
@@ -97,7 +106,7 @@
 ViewExchange::requestRoutes(const Endpoint& from, MilliTime now)
 {
   if (now >= this->nextRoutesRequest && !this->fetchedRoutes.isFetching()) {
-    this->nextRoutesRequest = now + internal::kRequestPeriod;
+    this->nextRoutesRequest = now + this->requestPeriod();
     this->messenger.send(
       from,
       ViewRequest{ ViewContent::routes, this->board.routes.version(), 0, 0 });
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -84,6 +84,7 @@
   MilliTime nextTargetsRequest{};
   MilliTime nextRoutesRequest{};
 
+  MilliDuration requestPeriod() const;
   void requestTargets(const Endpoint& from, MilliTime now);
   void requestRoutes(const Endpoint& from, MilliTime now);
   void onUpdate(const ViewUpdate& update,
