Emulator: a target that was cut off during a lapse registers again

Trace: the store lapsed while both targets of a service were cut off; entries came back for targets that were not silent, and a healed one never registered. All instances knew of no target, so the refusals were right and the emulator wrong. Ruled out: a view that stayed behind; all instances were at the store's revision.

Change: a healed target without an entry registers again, as its next heartbeat would.

--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -148,6 +148,10 @@
       healed.state = Target::State::serving;
       healed.silence.reset();
       this->openHealth(index);
+      // Its next heartbeat brings back an entry that lapsed meanwhile.
+      if (this->forgotten == 0 && !healed.isRegistered) {
+        this->enter(healed, index);
+      }
     }
   });
 }
--- a/test/emulator.cpp
+++ b/test/emulator.cpp
@@ -3,6 +3,7 @@
 /// nothing else is.
 
 #include <emulator/Routes.h>
+#include <emulator/Targets.h>
 #include <platform/PacketHeader.h>
 #include <standin/FabricPacket.h>
 
@@ -76,3 +77,21 @@
   packet.opens = true;
   cr_assert_not(standin::parseReset(standin::encodeCallerPacket(packet)));
 }
+
+/// Soak seeds 403 and 406: a target that was cut off while entries lapsed never
+/// registered again, and instances were blamed for refusals.
+Test(targets, one_that_was_cut_off_during_a_lapse_registers_again)
+{
+  boost::asio::io_context context;
+  standin::StoreStandin store(context, 10);
+  Promises promises(bootTime());
+  Targets targets(context, Addresses{ 98 }, store, promises, {});
+  targets.start(2);
+  targets.cut(0, 2500_ms);
+  targets.forgetEntries(100_ms);
+  context.run_for(std::chrono::milliseconds(1800));
+  cr_assert_not(targets.at(0).isRegistered);
+  cr_assert(targets.at(1).isRegistered);
+  context.run_for(std::chrono::milliseconds(1200));
+  cr_assert(targets.at(0).isRegistered);
+}
