Ages of views don't grow younger from member to member

Trace: routes_age_ms at front-na-central-a-13 stayed between 513 and 687 while nobody read the store, so neither the stand-by nor a zone took over. An age was taken over as it was sent, without the message's time on its way; over many hops a view looked fresh for ever.

Change: each hop adds 60 ms to an age. Left: stamps of confirmations instead of ages, which need no bound.

--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -18,6 +18,10 @@
 constexpr std::size_t kMostPushedBytes = 4800;
 /// \brief A message may wait so long at a link that is choked.
 constexpr MilliDuration kLongestDelay{ 1000 };
+/// \brief What a message may wait and travel. An age that is told from member
+/// to member would grow younger by it at each hop, and a view that nobody
+/// confirms would look fresh for ever.
+constexpr MilliDuration kHopDelay{ 60 };
 /// \brief Members without a view that are told of a first one at once.
 constexpr std::size_t kOffers = 8;
 
@@ -120,7 +124,8 @@
   // peer without a view has no age to tell.
   if (peer.targetsRevision > 0 &&
       peer.targetsRevision <= this->board.registry.lastChange()) {
-    const MilliTime confirmedAt{ now.ms - peer.targetsAge.ms };
+    const MilliTime confirmedAt =
+      now + MilliDuration{ -peer.targetsAge.ms - internal::kHopDelay.ms };
     this->board.targetsConfirmedAt =
       std::max(this->board.targetsConfirmedAt, confirmedAt);
     const MilliTime certainAt{ confirmedAt.ms - internal::kLongestDelay.ms };
@@ -129,8 +134,10 @@
   }
   if (peer.routesVersion > 0 &&
       peer.routesVersion <= this->board.routes.version()) {
-    this->board.routesConfirmedAt = std::max(
-      this->board.routesConfirmedAt, MilliTime{ now.ms - peer.routesAge.ms });
+    const MilliTime confirmedAt =
+      now + MilliDuration{ -peer.routesAge.ms - internal::kHopDelay.ms };
+    this->board.routesConfirmedAt =
+      std::max(this->board.routesConfirmedAt, confirmedAt);
   }
 }
 
