--- /dev/null
+++ b/test/tag/FleetWorld.h
@@ -0,0 +1,144 @@
+#ifndef BUCKTHORNWING_TEST_FLEET_WORLD_H
+#define BUCKTHORNWING_TEST_FLEET_WORLD_H
+
+#include "TagFixture.h"
+
+#include <Fleet>
+
+#include <criterion/criterion.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <memory>
+
+namespace buckthornwing::test {
+
+using namespace buckthornwing::literals;
+
+struct Delivery
+{
+  MilliTime at{};
+  Endpoint to;
+  FleetMessage message;
+};
+
+/// \brief Engines in zones that reach each other unless cut off.
+struct FleetWorld
+{
+  std::deque<Delivery> underWay;
+  MilliTime now{ 100000 };
+  std::map<Endpoint, std::unique_ptr<TagEngine>> engines;
+  std::map<Endpoint, bool> cutOff;
+  Random random{ 3 };
+  double loss = 0;
+  MilliDuration delay{}; ///< of each message
+
+  static Endpoint addressOf(std::uint16_t port)
+  {
+    Endpoint address = *parseEndpoint("127.0.0.1:1");
+    address.port = port;
+    return address;
+  }
+
+  Endpoint add(const std::string& zone, std::uint16_t port)
+  {
+    TagSettings settings;
+    settings.id = "entry-" + std::to_string(port);
+    settings.zone = zone;
+    settings.advertisedAddress = addressOf(port);
+    settings.tagSecret = 7;
+    settings.seed = port;
+    settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
+    settings.seeds = { *parseEndpoint("127.0.0.1:1"),
+                       *parseEndpoint("127.0.0.1:9999") };
+    const Endpoint address = settings.advertisedAddress;
+    this->engines[address] = std::make_unique<TagEngine>(settings);
+    return address;
+  }
+
+  void addInThreeZones(std::uint16_t count)
+  {
+    const std::array<std::string, 3> zones{ "a", "b", "c" };
+    for (std::uint16_t port = 1; port <= count; ++port) {
+      this->add(zones[port % zones.size()], port);
+    }
+  }
+
+  TagEngine& at(const Endpoint& address) { return *this->engines[address]; }
+
+  void load(const Endpoint& address, std::uint64_t version)
+  {
+    std::vector<TargetChange> changes;
+    for (std::uint64_t i = 1; i <= 6; ++i) {
+      changes.push_back(listed(i, i, "booking", i % 2 == 0 ? "a" : "b"));
+    }
+    this->at(address).onTargetListing(6, changes, this->now, this->now);
+    this->at(address).onRoutes(twoRoutes(version), this->now);
+  }
+
+  void deliver()
+  {
+    std::vector<std::pair<Endpoint, FleetMessage>> messages;
+    for (auto& [from, engine] : this->engines) {
+      for (OutgoingFleetMessage& outgoing : engine->takeOutgoing()) {
+        const bool passes = !this->cutOff[from] && !this->cutOff[outgoing.to] &&
+                            this->random.unit() >= this->loss;
+        if (passes && this->engines.contains(outgoing.to)) {
+          messages.emplace_back(outgoing.to, std::move(outgoing.message));
+        }
+      }
+    }
+    for (auto& [to, message] : messages) {
+      this->underWay.push_back(
+        { this->now + this->delay, to, std::move(message) });
+    }
+    while (!this->underWay.empty() && this->underWay.front().at <= this->now) {
+      const Delivery due = std::move(this->underWay.front());
+      this->underWay.pop_front();
+      const Endpoint& to = due.to;
+      const FleetMessage& message = due.message;
+      FleetMessage decoded;
+      const std::string bytes = encodeFleetMessage(message);
+      cr_assert(decodeFleetMessage(
+        { reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size() },
+        decoded));
+      this->at(to).onFleetMessage(decoded, this->now);
+    }
+  }
+
+  /// \brief Lets the store confirm the view of load() to those that ask it.
+  /// \returns how many they were
+  std::size_t confirmAtReaders()
+  {
+    std::size_t count = 0;
+    for (auto& [address, engine] : this->engines) {
+      if (!this->cutOff[address] && engine->shouldReadStore(this->now)) {
+        engine->onTargetChanges(6, {}, this->now, this->now);
+        engine->onRoutesConfirmed(1, this->now);
+        ++count;
+      }
+    }
+    return count;
+  }
+
+  /// \brief Messages take 5 ms, far less than the time between ticks.
+  void run(MilliDuration span)
+  {
+    constexpr MilliDuration kStep{ 5 };
+    const MilliTime end = this->now + span;
+    while (this->now < end) {
+      this->now = this->now + kStep;
+      if (this->now.ms % kTagTickPeriod.ms == 0) {
+        for (auto& [address, engine] : this->engines) {
+          engine->tick(this->now);
+        }
+      }
+      this->deliver();
+    }
+  }
+};
+
+}
+
+#endif
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -39,6 +39,22 @@
   return table;
 }
 
+/// \returns those two and \a count more of the first one's service.
+inline RouteTable
+manyRoutes(std::uint64_t version, std::size_t count)
+{
+  RouteTable table = twoRoutes(version);
+  for (std::size_t i = 0; i < count; ++i) {
+    Route route = table.routes[0];
+    route.name = "r-" + std::to_string(i);
+    route.destination.address.bytes[14] = static_cast<std::uint8_t>(i / 250);
+    route.destination.address.bytes[15] =
+      static_cast<std::uint8_t>(2 + i % 250);
+    table.routes.push_back(route);
+  }
+  return table;
+}
+
 /// \returns the entry of target number \a number of a service.
 inline TargetChange
 listed(std::uint64_t number,
--- a/test/tag/cold_start.cpp
+++ b/test/tag/cold_start.cpp
@@ -34,21 +34,6 @@
   return bytes * kBitsPerByte / (megabits * 1000);
 }
 
-RouteTable
-manyRoutes(std::uint64_t version)
-{
-  RouteTable table = twoRoutes(version);
-  for (std::size_t i = 0; i < kRoutes; ++i) {
-    Route route = table.routes[0];
-    route.name = "r-" + std::to_string(i);
-    route.destination.address.bytes[14] = static_cast<std::uint8_t>(i / 250);
-    route.destination.address.bytes[15] =
-      static_cast<std::uint8_t>(2 + i % 250);
-    table.routes.push_back(route);
-  }
-  return table;
-}
-
 /// \brief One instance with its link and its read of the store, if it reads.
 struct Starter
 {
@@ -208,7 +193,7 @@
     starter.leftToRead = 0;
     starter.engine->onTargetListing(
       kTargets, this->targets, this->now, this->now);
-    starter.engine->onRoutes(manyRoutes(this->version), this->now);
+    starter.engine->onRoutes(manyRoutes(this->version, kRoutes), this->now);
   }
 
   void tick(Starter& starter)
