--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -179,12 +179,13 @@
   return now - member.heardAt <= kLostAfter;
 }
 
+template<typename Predicate>
 std::vector<const KnownMember*>
-FleetMembers::sample(bool ownZone, std::size_t count, Random& random) const
+FleetMembers::choose(std::size_t count, Random& random, Predicate isFit) const
 {
   std::vector<const KnownMember*> chosen;
   for (const auto& [address, known] : this->members) {
-    if ((known.member.zone == this->self.zone) == ownZone) {
+    if (isFit(known)) {
       chosen.push_back(&known);
     }
   }
@@ -192,6 +193,28 @@
   return chosen;
 }
 
+template<typename Predicate>
+const KnownMember*
+FleetMembers::first(MilliTime now, Predicate isFit) const
+{
+  const KnownMember* best = nullptr;
+  for (const auto& [address, known] : this->members) {
+    const bool isBefore = best == nullptr || known.order < best->order;
+    if (isBefore && this->takesPart(known, now) && isFit(known)) {
+      best = &known;
+    }
+  }
+  return best;
+}
+
+std::vector<const KnownMember*>
+FleetMembers::sample(bool ownZone, std::size_t count, Random& random) const
+{
+  return this->choose(count, random, [&](const KnownMember& known) {
+    return (known.member.zone == this->self.zone) == ownZone;
+  });
+}
+
 std::vector<const KnownMember*>
 FleetMembers::sampleNews(std::size_t count, MilliTime now, Random& random) const
 {
@@ -228,41 +251,32 @@
                            MilliTime now,
                            Random& random) const
 {
-  std::vector<const KnownMember*> chosen;
-  for (const auto& [address, known] : this->members) {
-    if (known.member.hasView == hasView && this->isLive(known, now)) {
-      chosen.push_back(&known);
-    }
-  }
-  internal::keepRandom(chosen, count, random);
-  return chosen;
+  return this->choose(count, random, [&](const KnownMember& known) {
+    return known.member.hasView == hasView && this->isLive(known, now);
+  });
 }
 
 const KnownMember*
 FleetMembers::anyWithView(MilliTime now, Random& random) const
 {
-  std::vector<const KnownMember*> near;
-  std::vector<const KnownMember*> far;
-  for (const auto& [address, known] : this->members) {
-    if (known.member.hasView && this->isLive(known, now)) {
-      (known.member.zone == this->self.zone ? near : far).push_back(&known);
+  for (const bool ownZone : { true, false }) {
+    const auto chosen = this->choose(1, random, [&](const KnownMember& known) {
+      return known.member.hasView && this->isLive(known, now) &&
+             (known.member.zone == this->self.zone) == ownZone;
+    });
+    if (!chosen.empty()) {
+      return chosen.front();
     }
   }
-  const auto& chosen = near.empty() ? far : near;
-  return chosen.empty() ? nullptr : chosen[random.below(chosen.size())];
+  return nullptr;
 }
 
 std::vector<const KnownMember*>
 FleetMembers::sampleLive(std::size_t count, MilliTime now, Random& random) const
 {
-  std::vector<const KnownMember*> chosen;
-  for (const auto& [address, known] : this->members) {
-    if (this->isLive(known, now)) {
-      chosen.push_back(&known);
-    }
-  }
-  internal::keepRandom(chosen, count, random);
-  return chosen;
+  return this->choose(count, random, [&](const KnownMember& known) {
+    return this->isLive(known, now);
+  });
 }
 
 bool
@@ -282,49 +296,39 @@
     }));
 }
 
-const KnownMember*
-FleetMembers::firstOutside(std::string_view zone,
-                           const KnownMember* leftOut,
-                           MilliTime now) const
-{
-  const KnownMember* first = nullptr;
-  for (const auto& [address, known] : this->members) {
-    const bool isFit = &known != leftOut && known.member.zone != zone &&
-                       this->takesPart(known, now);
-    if (isFit && (first == nullptr || known.order < first->order)) {
-      first = &known;
-    }
-  }
-  return first;
-}
-
 ReaderRole
 FleetMembers::role(MilliTime now) const
 {
-  // No member is in a zone without a name.
-  const KnownMember* first = this->firstOutside({}, nullptr, now);
-  if (first == nullptr || this->order < first->order) {
+  const KnownMember* reader =
+    this->first(now, [](const KnownMember&) { return true; });
+  if (reader == nullptr || this->order < reader->order) {
     return ReaderRole::reader;
   }
-  const std::string& zone = first->member.zone;
-  const KnownMember* second = this->firstOutside(zone, nullptr, now);
+  const std::string& zone = reader->member.zone;
+  const KnownMember* elsewhere = this->first(
+    now, [&](const KnownMember& known) { return known.member.zone != zone; });
   const bool isElsewhere = this->self.zone != zone;
-  if (!isElsewhere && second == nullptr) {
-    second = this->firstOutside({}, first, now);
-  } else if (!isElsewhere) {
+  if (!isElsewhere && elsewhere != nullptr) {
     return ReaderRole::none;
   }
-  const bool isSecond = second == nullptr || this->order < second->order;
-  return isSecond ? ReaderRole::standBy : ReaderRole::none;
+  const KnownMember* rival =
+    isElsewhere ? elsewhere : this->first(now, [&](const KnownMember& known) {
+      return &known != reader;
+    });
+  const bool isNext = rival == nullptr || this->order < rival->order;
+  return isNext ? ReaderRole::standBy : ReaderRole::none;
 }
 
 const KnownMember*
 FleetMembers::standBy(MilliTime now) const
 {
   const KnownMember* elsewhere =
-    this->firstOutside(this->self.zone, nullptr, now);
-  return elsewhere != nullptr ? elsewhere
-                              : this->firstOutside({}, nullptr, now);
+    this->first(now, [&](const KnownMember& known) {
+      return known.member.zone != this->self.zone;
+    });
+  return elsewhere != nullptr
+           ? elsewhere
+           : this->first(now, [](const KnownMember&) { return true; });
 }
 
 std::vector<const KnownMember*>
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -149,11 +149,15 @@
   /// \returns the entry of a member, new if it was not known.
   KnownMember& entryOf(const Endpoint& address);
   bool takesPart(const KnownMember& known, MilliTime now) const;
-  /// \returns the first member that takes part outside of a zone, but for one
-  /// that is left out; null if there is none.
-  const KnownMember* firstOutside(std::string_view zone,
-                                  const KnownMember* leftOut,
-                                  MilliTime now) const;
+  /// \returns up to \a count random members of those that a predicate names.
+  template<typename Predicate>
+  std::vector<const KnownMember*> choose(std::size_t count,
+                                         Random& random,
+                                         Predicate isFit) const;
+  /// \returns the first member, in the order of all, of those that take part
+  /// and that a predicate names; null if there is none.
+  template<typename Predicate>
+  const KnownMember* first(MilliTime now, Predicate isFit) const;
 };
 
 }
