New flows leave a zone whose targets queue two rounds longer

Cause: a flow never left its zone while one target there answered.

Change: the best target of another zone is taken when requests would queue there two rounds less. Open flows count for nothing in it, so calm zones keep to themselves.

--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -13,8 +13,9 @@
 constexpr double kQueueWeight = 6.0;
 /// \brief A cold target counts as this much busier.
 constexpr double kColdFactor = 1.6;
-/// \brief Load per slot by which another zone must be better.
-constexpr double kZoneMargin = 1000.0;
+/// \brief Rounds of requests by which the queue of another zone must be
+/// shorter. The way there and back takes about as long as one.
+constexpr double kZoneRounds = 2.0;
 
 /// \brief A silent target is taken only if all are silent.
 constexpr double kSilentPenalty = 1000000.0;
@@ -37,6 +38,49 @@
   return mixWords(flow.bits, target.record.number);
 }
 
+double
+slotsOf(const KnownTarget& target)
+{
+  return target.record.slots == 0 ? kDefaultSlots
+                                  : static_cast<double>(target.record.slots);
+}
+
+/// \brief The best target found so far.
+struct Candidate
+{
+  TargetSlot slot = kNoTargetSlot;
+  double load = std::numeric_limits<double>::max();
+  std::uint64_t tie = 0; ///< decides between equal loads
+
+  void offer(const Candidate& other)
+  {
+    if (other.load < this->load ||
+        (other.load == this->load && other.tie > this->tie)) {
+      *this = other;
+    }
+  }
+
+  bool isSilent() const { return this->load >= kSilentPenalty; }
+};
+
+/// \returns the better of the best targets of the own and of other zones.
+Candidate
+chooseZone(const TagBoard& board, const Candidate& own, const Candidate& other)
+{
+  if (own.slot == kNoTargetSlot || other.slot == kNoTargetSlot) {
+    return own.slot == kNoTargetSlot ? other : own;
+  }
+  if (own.isSilent() || other.isSilent()) {
+    return other.load < own.load ? other : own;
+  }
+  if (!board.settings.policy.sharesZones) {
+    return own;
+  }
+  const double saved =
+    queuedRounds(board, own.slot) - queuedRounds(board, other.slot);
+  return saved > kZoneRounds ? other : own;
+}
+
 }
 
 ServiceSlot
@@ -70,14 +114,20 @@
                         load.busy + load.peerBusy + peers * newBusy };
 }
 
+double
+queuedRounds(const TagBoard& board, TargetSlot slot)
+{
+  const double slots = internal::slotsOf(board.registry.at(slot));
+  const double queued = estimateLoad(board, slot).busy + 1 - slots;
+  return std::max(0.0, queued) / slots;
+}
+
 double
 placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now)
 {
   const KnownTarget& target = board.registry.at(slot);
   const EstimatedLoad load = estimateLoad(board, slot);
-  const double slots = target.record.slots == 0
-                         ? internal::kDefaultSlots
-                         : static_cast<double>(target.record.slots);
+  const double slots = internal::slotsOf(target);
   const double cold = now < target.slowUntil ? internal::kColdFactor : 1.0;
   const double queued = std::max(0.0, load.busy + 1 - slots);
   return (load.flows + 1 + internal::kQueueWeight * queued) * cold / slots;
@@ -112,23 +162,18 @@
                            ServiceSlot service,
                            MilliTime now) const
 {
-  TargetSlot best = kNoTargetSlot;
-  double bestLoad = std::numeric_limits<double>::max();
-  std::uint64_t bestTie = 0;
+  internal::Candidate own;
+  internal::Candidate other;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone;
-    const double load = placementLoad(board, slot, now) +
-                        (isLocal ? 0.0 : internal::kZoneMargin) +
-                        internal::silencePenalty(board, slot, now);
-    const std::uint64_t tie = internal::rendezvousScore(flow, target);
-    if (load < bestLoad || (load == bestLoad && tie > bestTie)) {
-      best = slot;
-      bestLoad = load;
-      bestTie = tie;
-    }
+    (isLocal ? own : other)
+      .offer({ slot,
+               placementLoad(board, slot, now) +
+                 internal::silencePenalty(board, slot, now),
+               internal::rendezvousScore(flow, target) });
   }
-  return best;
+  return internal::chooseZone(board, own, other).slot;
 }
 
 }
--- a/buckthornwing/src/Steering/PlacementPolicy.h
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -33,8 +33,12 @@
 /// \brief The target with the fewest flows and requests for each slot.
 ///
 /// The own zone comes first, because its targets stay reachable when zones
-/// lose each other; another zone is taken when the own one is busier by more
-/// than a margin.
+/// lose each other. Another zone is taken while requests would queue longer in
+/// the own one.
+///
+/// Load pattern: after an outage the fabric hands callers of a zone whose
+/// instances are not back yet to a neighbour, whose targets then have queues
+/// while those of the other zone are idle.
 struct LeastLoadPlacement
 {
   TargetSlot choose(TagBoard& board,
@@ -63,6 +67,11 @@
 double
 placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now);
 
+/// \returns how many requests each slot of a target must finish before it
+/// takes up a new one.
+double
+queuedRounds(const TagBoard& board, TargetSlot slot);
+
 /// \returns the service that takes a new flow of a route, by weight. All
 /// instances choose alike for one flow.
 ServiceSlot
--- a/buckthornwing/src/Steering/TagSettings.h
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -14,6 +14,7 @@
 struct TagPolicySettings
 {
   bool byLoad = true;      ///< placement by load; otherwise by hash alone
+  bool sharesZones = true; ///< new flows leave a zone whose targets queue
   bool findsSilent = true; ///< silent targets are suspected and probed
 };
 
