A starting instance with a fast link reads the store at once

Cause: after a loss of power nobody has a view, yet each instance asked peers for 40 ms before it read; 40 of the 100 to 135 ms until its routes were there, with the backlog of callers growing meanwhile.

Change: the wait is gone; slow links still spread their reads and mostly get the view from peers before. The price is two calls a start.

--- a/buckthornwing/src/Fleet/StoreReaders.cpp
+++ b/buckthornwing/src/Fleet/StoreReaders.cpp
@@ -5,9 +5,6 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief A process that starts hears from a peer within this time, if one has
-/// a view: some round trips between zones.
-constexpr MilliDuration kAskPeersFirst{ 40 };
 /// \brief Over this time the instances of a first start begin to read, unless
 /// a view reaches them before.
 constexpr double kFirstStartSpreadMs = 2000;
@@ -95,8 +92,7 @@
 askPeersFor(const StarterSituation& situation, Random& random)
 {
   const double spread = internal::spreadMs(situation);
-  return internal::kAskPeersFirst +
-         MilliDuration{ static_cast<std::int64_t>(spread * random.unit()) };
+  return MilliDuration{ static_cast<std::int64_t>(spread * random.unit()) };
 }
 
 }
--- a/buckthornwing/src/Fleet/StoreReaders.h
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -30,8 +30,8 @@
 /// Load pattern: hundreds of instances before one store that counts calls. One
 /// instance reads for all; the others learn views from peers. A stand-by in
 /// another zone takes over as soon as the reader's news stop. A process that
-/// starts asks peers first, and reads only if nobody has a view, as after a
-/// loss of power, or if none delivers. A part of the fleet that is cut off from
+/// starts asks peers and reads unless one of them offers a view before; then it
+/// reads only if none delivers. A part of the fleet that is cut off from
 /// the readers notices by the age of its view: one instance of each zone joins
 /// in, and after growing pauses a few more, in case the store turns the first
 /// ones away. So a store that fails is never asked by all instances at once.
@@ -48,9 +48,10 @@
 
 /// \returns how long a process that starts waits for any peer's view.
 ///
-/// Load pattern: all instances lost power and start within half a second; if
-/// all read, the store's link is what they wait for. Those with fast links
-/// read at once and pass the view on. The others spread their reads, the
+/// Load pattern: all instances lost power and start within half a second,
+/// while callers wait; if all read, the store's link is what they wait for.
+/// Those with fast links read at once, also when one starts alone, because it
+/// can't know whether a peer has a view. They pass the view on. The others spread their reads, the
 /// slower their link the less: over a slow link a peer is not faster than the
 /// store. At a first start nearly all have time to learn the view from peers.
 MilliDuration
--- a/test/tag/FleetWorld.h
+++ b/test/tag/FleetWorld.h
@@ -32,7 +32,8 @@
   std::map<Endpoint, bool> cutOff;
   Random random{ 3 };
   double loss = 0;
-  MilliDuration delay{}; ///< of each message
+  MilliDuration delay{};   ///< of each message
+  double linkMegabits = 0; ///< of instances that are added
 
   static Endpoint addressOf(std::uint16_t port)
   {
@@ -49,6 +50,7 @@
     settings.advertisedAddress = addressOf(port);
     settings.tagSecret = 7;
     settings.seed = port;
+    settings.linkMegabits = this->linkMegabits;
     settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
     settings.seeds = { *parseEndpoint("127.0.0.1:1"),
                        *parseEndpoint("127.0.0.1:9999") };
