--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -36,10 +36,12 @@
   , reports(board)
   , messenger(board, members, reports)
   , exchange(board, view, members, messenger)
-  , askPeersFirst(askPeersFor({ board.settings.isFirstStart,
-                                this->isSeed(),
-                                board.settings.linkMegabits },
-                              board.random))
+  , askPeersFirst(board.settings.policy.spreadsReads
+                    ? askPeersFor({ board.settings.isFirstStart,
+                                    this->isSeed(),
+                                    board.settings.linkMegabits },
+                                  board.random)
+                    : MilliDuration{})
 {
 }
 
@@ -137,10 +139,10 @@
     return;
   }
   const KnownMember* standBy = this->members.standBy(now);
-  if (standBy != nullptr) {
+  if (standBy != nullptr && this->board.settings.policy.hasStandBy) {
     this->messenger.sendHeartbeat(standBy->member.address, now);
   }
-  if (now < this->nextConfirmation) {
+  if (now < this->nextConfirmation || !this->board.settings.policy.tellsZones) {
     return;
   }
   this->nextConfirmation = now + internal::kConfirmationPeriod;
@@ -171,6 +173,10 @@
     situation.sinceOffered = now - this->exchange.firstOfferAt();
   }
   situation.role = this->members.role(now);
+  if (!this->board.settings.policy.hasStandBy &&
+      situation.role == ReaderRole::standBy) {
+    situation.role = ReaderRole::none;
+  }
   situation.rankInZone = this->members.rankInZone(now);
   situation.targetsAge = now - this->board.targetsConfirmedAt;
   situation.routesAge = now - this->board.routesConfirmedAt;
--- a/buckthornwing/src/Fleet/LoadReports.cpp
+++ b/buckthornwing/src/Fleet/LoadReports.cpp
@@ -62,6 +62,9 @@
     load.flowsAtReport = load.flows;
     load.busyAtReport = load.busy;
   }
+  if (!this->board.settings.policy.usesPeerLoads) {
+    return;
+  }
   for (auto& [address, known] : members.all()) {
     this->add(known, now);
   }
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -50,7 +50,7 @@
 void
 ViewExchange::seek(MilliTime now)
 {
-  if (this->board.hasView()) {
+  if (this->board.hasView() || !this->board.settings.policy.takesPeerViews) {
     return;
   }
   const KnownMember* peer = this->members.anyWithView(now, this->board.random);
@@ -222,7 +222,7 @@
 {
   std::vector<const KnownMember*> peers =
     this->members.sample(true, internal::kPushPeers, this->board.random);
-  if (isReading) {
+  if (isReading && this->board.settings.policy.tellsZones) {
     const auto far = this->members.oneInEachOtherZone(now, this->board.random);
     peers.insert(peers.end(), far.begin(), far.end());
   }
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -212,7 +212,9 @@
             SteeringDecision& decision,
             MilliTime now)
   {
-    if (!this->held.hold(datagram, now)) {
+    const bool isHeld =
+      this->settings.tag.policy.holdsPackets && this->held.hold(datagram, now);
+    if (!isHeld) {
       ++this->counters.notHeld;
       decision.outcome = SteeringOutcome::drop;
     }
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -3,6 +3,8 @@
 #include "../Core/Hash.h"
 #include "SettingsText.h"
 
+#include <boost/json.hpp>
+
 namespace buckthornwing {
 namespace internal {
 
@@ -11,6 +13,21 @@
 /// \brief Separates the tag secret from other uses of the fleet key.
 constexpr std::uint64_t kTagSecretDomain = 0x7461670000000001ULL;
 
+/// \returns the decisions without the parts that the setting "without" names.
+TagPolicySettings
+parsePolicy(JsonReader& reader)
+{
+  TagPolicySettings policy;
+  const boost::json::array* names = reader.array("without", false);
+  for (std::size_t i = 0; names != nullptr && i < names->size(); ++i) {
+    const boost::json::string* name = (*names)[i].if_string();
+    if (name == nullptr || !leaveOut(policy, *name)) {
+      reader.report("without", "expected names of parts of the decisions");
+    }
+  }
+  return policy;
+}
+
 TagServerSettings
 parseTagFields(JsonReader& reader, Problems& problems)
 {
@@ -36,6 +53,7 @@
   settings.tag.linkMegabits =
     reader.decimal("link_mbps", 0, kMostLinkMegabits, 0);
   settings.tag.isFirstStart = reader.flag("first_start", false);
+  settings.tag.policy = parsePolicy(reader);
   return settings;
 }
 
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -111,7 +111,7 @@
 HealthController::askForProbe(TargetSlot target, MilliTime now)
 {
   TargetHealth& health = this->board.healthFor(target);
-  if (health.probing) {
+  if (health.probing || !this->board.settings.policy.probes) {
     return;
   }
   health.probing = true;
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -128,8 +128,11 @@
   const KnownTarget& target = board.registry.at(slot);
   const EstimatedLoad load = estimateLoad(board, slot);
   const double slots = internal::slotsOf(target);
-  const double cold = now < target.slowUntil ? internal::kColdFactor : 1.0;
-  const double queued = std::max(0.0, load.busy + 1 - slots);
+  const TagPolicySettings& policy = board.settings.policy;
+  const bool isCold = policy.weighsCold && now < target.slowUntil;
+  const double cold = isCold ? internal::kColdFactor : 1.0;
+  const double queued =
+    policy.weighsQueues ? std::max(0.0, load.busy + 1 - slots) : 0.0;
   return (load.flows + 1 + internal::kQueueWeight * queued) * cold / slots;
 }
 
@@ -166,7 +169,8 @@
   internal::Candidate other;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
-    const bool isLocal = target.record.zone == board.settings.zone;
+    const bool isLocal = target.record.zone == board.settings.zone ||
+                         !board.settings.policy.prefersOwnZone;
     (isLocal ? own : other)
       .offer({ slot,
                placementLoad(board, slot, now) +
--- a/buckthornwing/src/Steering/TagBoard.h
+++ b/buckthornwing/src/Steering/TagBoard.h
@@ -48,6 +48,7 @@
     , tags(scheme)
     , random{ settings.seed }
   {
+    this->registry.setKeepsLapsed(settings.policy.keepsLapsed);
   }
 
   TagSettings settings;
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -161,7 +161,11 @@
 TagEngine::takeRescued()
 {
   std::vector<RescuedFlow> rescued;
-  for (const TargetSlot target : this->health.takeDead()) {
+  const auto dead = this->health.takeDead();
+  if (!this->state.settings.policy.rescues) {
+    return rescued;
+  }
+  for (const TargetSlot target : dead) {
     const auto flows = this->rescue.rescueFrom(target);
     rescued.insert(rescued.end(), flows.begin(), flows.end());
   }
--- a/buckthornwing/src/Steering/TagSettings.h
+++ b/buckthornwing/src/Steering/TagSettings.h
@@ -3,6 +3,7 @@
 
 #include "../Core/IpAddress.h"
 #include "../Core/MilliTime.h"
+#include "TagPolicySettings.h"
 
 #include <cstdint>
 #include <string>
@@ -10,14 +11,6 @@
 
 namespace buckthornwing {
 
-/// \brief Policies that can be left out, to measure what each is worth.
-struct TagPolicySettings
-{
-  bool byLoad = true;      ///< placement by load; otherwise by hash alone
-  bool sharesZones = true; ///< new flows leave a zone whose targets queue
-  bool findsSilent = true; ///< silent targets are suspected and probed
-};
-
 /// \brief What an instance before a tagging fabric is told about itself.
 struct TagSettings
 {
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -65,8 +65,8 @@
   if (target.presence == TargetPresence::gone) {
     return;
   }
-  const bool mayReturn =
-    !target.wasDraining && now < this->unwellAt + internal::kLapseHold;
+  const bool mayReturn = this->keepsLapsed && !target.wasDraining &&
+                         now < this->unwellAt + internal::kLapseHold;
   target.presence = mayReturn ? TargetPresence::lapsed : TargetPresence::gone;
   target.changedAt = now;
 }
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -63,6 +63,9 @@
 
   /// \brief Notes that the registry failed to answer, so that entries which
   /// vanish now may be back shortly.
+  /// \brief Without it what vanishes has left, also while the store is unwell.
+  void setKeepsLapsed(bool keeps) { this->keepsLapsed = keeps; }
+
   void noteUnwell(MilliTime at)
   {
     this->unwellAt = std::max(this->unwellAt, at);
@@ -100,6 +103,7 @@
   std::uint64_t asOfRevision = 0;
   std::uint64_t changeRevision = 0;
   std::uint64_t forgottenRevision = 0; ///< newest end that was forgotten
+  bool keepsLapsed = true;
   MilliTime unwellAt{ -1000000 };
   MilliTime firstLoadedAt{};
 
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -394,6 +394,31 @@
     std::string::npos);
 }
 
+Test(settings, parts_of_the_decisions_are_left_out_by_name)
+{
+  TagPolicySettings policy;
+  const auto parse = [&](const std::string& text) {
+    return errorOf([&]() -> boost::leaf::result<void> {
+      BOOST_LEAF_AUTO(settings, parseTagServerSettings(text, "file"));
+      policy = settings.tag.policy;
+      return {};
+    });
+  };
+  cr_assert_eq(parse(tagSettings(R"(,"without":["rescue","stand_by"])")), "");
+  cr_assert_not(policy.rescues);
+  cr_assert_not(policy.hasStandBy);
+  cr_assert(policy.byLoad);
+  cr_assert_eq(parse(tagSettings("")), "");
+  for (const TagPolicyName& each : kTagPolicyNames) {
+    cr_assert(policy.*(each.part));
+  }
+  for (const char* wrong : { R"(["sleep"])", R"([1])", R"("rescue")" }) {
+    const std::string text = std::string(R"(,"without":)") + wrong;
+    cr_assert_neq(parse(tagSettings(text)).find("$.without"),
+                  std::string::npos);
+  }
+}
+
 /// A line costs no wake-up of its own; what waits at the end is written.
 Test(json_log, lines_written_together_are_whole_and_in_order)
 {
