--- a/buckthornwing/src/Fleet/LoadReports.cpp
+++ b/buckthornwing/src/Fleet/LoadReports.cpp
@@ -8,6 +8,19 @@
 constexpr std::size_t kReportsSent = 24;
 /// \brief A peer's report counts for so long.
 constexpr MilliDuration kReportLife{ 2500 };
+/// \brief No instance has more flows or requests at one target.
+constexpr std::int32_t kMostReported = 100000;
+
+/// \returns a report within what can be true; one below zero would draw all
+/// new flows to its target.
+TargetReport
+plausible(TargetReport report)
+{
+  report.flows = std::clamp(report.flows, 0, kMostReported);
+  report.busy = std::clamp(report.busy, 0, report.flows);
+  report.sinceProgress = std::max(report.sinceProgress, MilliDuration{});
+  return report;
+}
 
 }
 
@@ -43,7 +56,8 @@
                   MilliTime now)
 {
   for (const TargetReport& report : body.reports) {
-    member.reports[report.number] = ReceivedReport{ report, now };
+    member.reports[report.number] =
+      ReceivedReport{ internal::plausible(report), now };
     if (report.dead && member.member.zone == this->board.settings.zone) {
       this->foundDead.push_back(report.number);
     }
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -4,6 +4,9 @@
 
 #include "FleetWorld.h"
 
+#include <limits>
+#include <map>
+
 using namespace buckthornwing;
 using namespace buckthornwing::literals;
 using namespace buckthornwing::test;
@@ -242,3 +245,78 @@
     cr_assert_eq(engine->board().routes.version(), 22);
   }
 }
+
+namespace {
+
+/// \returns how many of 300 new flows each of four targets gets while a peer
+/// reports a load of target 1.
+std::map<TargetSlot, int>
+placedBeside(const TargetReport& report)
+{
+  constexpr unsigned kFlows = 300;
+  OneEngine world;
+  FleetMessage message;
+  message.sender.id = "entry-9";
+  message.sender.zone = "a";
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetHeartbeat beat;
+  beat.reports = { report };
+  message.body = beat;
+  std::map<TargetSlot, int> placed;
+  for (unsigned client = 0; client < kFlows; ++client) {
+    if (client % 30 == 0) {
+      world.engine.onFleetMessage(message, world.now);
+      world.run(200_ms);
+    }
+    ++placed[world.open(flowOf(client)).target];
+  }
+  return placed;
+}
+
+}
+
+Test(load_reports, loads_below_zero_draw_no_flows)
+{
+  TargetReport report;
+  report.number = 1;
+  report.flows = -1000000;
+  report.busy = -1000000;
+  report.sinceProgress = MilliDuration{ -5000 };
+  const auto placed = placedBeside(report);
+  cr_assert_eq(placed.size(), 4);
+  for (const auto& [target, count] : placed) {
+    cr_assert_leq(count, 2 * 300 / 4);
+  }
+}
+
+Test(load_reports, a_huge_load_costs_its_own_target_alone)
+{
+  TargetReport report;
+  report.number = 1;
+  report.flows = std::numeric_limits<std::int32_t>::max();
+  report.busy = std::numeric_limits<std::int32_t>::max();
+  const auto placed = placedBeside(report);
+  cr_assert_geq(placed.size(), 3);
+  for (const auto& [target, count] : placed) {
+    cr_assert_leq(count, 2 * 300 / 3);
+  }
+}
+
+/// Its peer's last report stays for 2.5 s, not for ever.
+Test(load_reports, a_report_that_is_not_renewed_ends)
+{
+  OneEngine world(1);
+  FleetMessage message;
+  message.sender.id = "entry-9";
+  message.sender.zone = "a";
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetHeartbeat beat;
+  beat.reports = { { 1, 50, 20, 0, {}, false } };
+  message.body = beat;
+  world.engine.onFleetMessage(message, world.now);
+  world.run(400_ms);
+  const TargetSlot slot = world.engine.board().registry.findNumber(1);
+  cr_assert_gt(world.engine.board().observer.load(slot).peerBusy, 10);
+  world.run(3_s);
+  cr_assert_eq(world.engine.board().observer.load(slot).peerBusy, 0);
+}
