No more log lines are written together than a pipe takes whole

Change: 4,096 bytes at most, a single longer line goes alone. The new test fails with the old limit.

--- a/buckthornwing/src/Io/JsonLog.cpp
+++ b/buckthornwing/src/Io/JsonLog.cpp
@@ -15,7 +15,6 @@
 /// \brief Lines of this time are written together; a process that is killed
 /// loses them.
 constexpr MilliDuration kGather{ 100 };
-constexpr std::size_t kMostBytesTogether = 64 * 1024;
 
 log4cxx::LoggerPtr
 makeLogger(const std::string& fileName)
@@ -58,14 +57,16 @@
   return 0;
 }
 
-/// \returns how many of the first lines fit what is written together.
 std::size_t
 countTogether(std::span<const std::string> lines)
 {
   std::size_t count = 0;
   std::size_t bytes = 0;
-  while (count < lines.size() && bytes < kMostBytesTogether) {
-    bytes += lines[count].size() + 1;
+  for (const std::string& line : lines) {
+    bytes += line.size() + 1;
+    if (count > 0 && bytes > kMostBytesTogether) {
+      break;
+    }
     ++count;
   }
   return count;
--- a/buckthornwing/src/Io/JsonLog.h
+++ b/buckthornwing/src/Io/JsonLog.h
@@ -7,11 +7,23 @@
 #include <condition_variable>
 #include <cstdint>
 #include <mutex>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
 
 namespace buckthornwing {
+namespace internal {
+
+/// \brief A pipe takes so many bytes whole or not at all.
+constexpr std::size_t kMostBytesTogether = 4096;
+
+/// \returns how many of the first lines fit what is written together; at least
+/// one.
+std::size_t
+countTogether(std::span<const std::string> lines);
+
+}
 
 /// \brief Writes JSON lines through log4cxx on a thread of its own.
 ///
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -419,6 +419,19 @@
   }
 }
 
+/// On a busy second whole batches were larger than the reader's pipe took at
+/// once: bytes were missing in the middle of lines.
+Test(json_log, no_more_is_written_together_than_a_pipe_takes_whole)
+{
+  const std::vector<std::string> lines(100, std::string(370, 'x'));
+  const std::size_t count = internal::countTogether(lines);
+  cr_assert_leq(count * 371, 4096);
+  cr_assert_gt((count + 1) * 371, 4096);
+  const std::vector<std::string> large{ std::string(10000, 'x'), "{}" };
+  cr_assert_eq(internal::countTogether(large), 1);
+  cr_assert_eq(internal::countTogether(std::span(lines).first(3)), 3);
+}
+
 /// A line costs no wake-up of its own; what waits at the end is written.
 Test(json_log, lines_written_together_are_whole_and_in_order)
 {
