--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -2,17 +2,18 @@
 #define BUCKTHORNWING_TEST_LOAD_REPLAY_H
 
 #include "LoadPattern.h"
+#include "PacedOpenings.h"
+#include "ReplayCaller.h"
 #include "ReplayFabric.h"
+#include "ReplayTarget.h"
 #include "TagFixture.h"
+#include "VirtualEvents.h"
 
 #include <Fleet>
 
 #include <algorithm>
-#include <deque>
 #include <functional>
-#include <map>
 #include <memory>
-#include <queue>
 
 namespace buckthornwing::test {
 
@@ -47,13 +48,7 @@
   LoadResult run()
   {
     this->planFaults();
-    while (!this->events.empty() &&
-           this->events.top().at <= this->start + this->pattern.length) {
-      const Event event = this->events.top();
-      this->events.pop();
-      this->now = event.at;
-      event.run();
-    }
+    this->events.run(this->start + this->pattern.length);
     int most = 0;
     int total = 0;
     for (const ReplayTarget& target : this->targets) {
@@ -62,64 +57,18 @@
     }
     this->result.imbalance = static_cast<double>(most) *
                              static_cast<double>(this->targets.size()) / total;
-    this->result.zoneImbalance = this->zoneImbalance();
+    this->result.zoneImbalance = this->zoneBusy.imbalance();
     return this->result;
   }
 
 private:
-  struct Event
-  {
-    MilliTime at;
-    std::uint64_t order = 0;
-    std::function<void()> run;
-
-    bool operator<(const Event& other) const
-    {
-      return std::pair(other.at, other.order) <
-             std::pair(this->at, this->order);
-    }
-  };
-
-  /// \brief A request in a target's hands.
-  struct Job
-  {
-    std::size_t caller = 0;
-    std::uint64_t generation = 0;
-  };
-
-  struct ReplayTarget
-  {
-    std::size_t running = 0;
-    std::deque<Job> waiting;
-    bool isDark = false;
-    int served = 0;
-    std::size_t zone = 0;
-  };
-
-  struct Caller
-  {
-    bool hasFlow = false;
-    FlowKey flow;
-    FlowTag tag;
-    std::uint32_t sequence = 1001;
-    std::uint32_t acknowledged = 1;
-    bool delivered = false;       ///< the target has the request
-    std::uint64_t generation = 0; ///< of the present try
-    MilliTime askedAt{};
-    bool isAsking = false;
-    int sheds = 0; ///< of the present request
-    std::size_t zone = 0;
-    bool opensForEach = false; ///< a flow for each request
-  };
-
   LoadPattern pattern;
   TagPolicySettings policy;
   MilliTime start{ 100000 };
-  MilliTime now{ 100000 };
+  VirtualEvents events{ start };
+  const MilliTime& now = events.now;
   Random random;
-  std::uint64_t nextOrder = 0;
   std::uint16_t nextPort = 1024;
-  std::priority_queue<Event> events;
   std::vector<std::unique_ptr<TagEngine>> engines; ///< null while down
   std::vector<std::size_t> instanceZones;
   ReplayFabric fabric;
@@ -127,11 +76,11 @@
   std::vector<Caller> callers;
   LoadResult result;
   MilliTime outageEnd{};
-  std::vector<double> zoneBusy; ///< requests a slot, summed over samples
+  ZoneBusy zoneBusy;
 
   void after(MilliDuration span, std::function<void()> run)
   {
-    this->events.push({ this->now + span, ++this->nextOrder, std::move(run) });
+    this->events.after(span, std::move(run));
   }
 
   static std::string zoneName(std::size_t zone)
@@ -147,7 +96,7 @@
     ReplayTarget target;
     target.zone = zone;
     this->targets.insert(this->targets.end(), sizes.targets, target);
-    this->zoneBusy.push_back(0);
+    this->zoneBusy.addZone(sizes.targets * this->pattern.slots);
   }
 
   std::unique_ptr<TagEngine> makeEngine(std::size_t index)
@@ -201,34 +150,16 @@
     }
   }
 
-  /// \brief Adds up how busy each zone is while requests wait somewhere.
   void sampleZones()
   {
     constexpr MilliDuration kSamplePeriod{ 20 };
     constexpr MilliDuration kSampled{ 1500 };
-    const bool isQueueing =
-      std::any_of(this->targets.begin(),
-                  this->targets.end(),
-                  [](const auto& target) { return !target.waiting.empty(); });
-    for (const ReplayTarget& target : this->targets) {
-      const auto busy =
-        static_cast<double>(target.running + target.waiting.size());
-      const auto slots = static_cast<double>(
-        this->pattern.zones[target.zone].targets * this->pattern.slots);
-      this->zoneBusy[target.zone] += isQueueing ? busy / slots : 0;
-    }
+    this->zoneBusy.sample(this->targets);
     if (this->now - this->outageEnd < kSampled) {
       this->after(kSamplePeriod, [this] { this->sampleZones(); });
     }
   }
 
-  double zoneImbalance() const
-  {
-    const auto [least, most] =
-      std::minmax_element(this->zoneBusy.begin(), this->zoneBusy.end());
-    return *least > 0 ? *most / *least : 0;
-  }
-
   void checkInstances()
   {
     this->after(ReplayFabric::kCheckPeriod, [this] { this->checkInstances(); });
@@ -308,21 +239,6 @@
     return isLocal ? MilliDuration{} : this->pattern.crossZone;
   }
 
-  /// \returns whether all targets of an instance's zone seem crowded to it.
-  bool seemsCrowded(const TagEngine& engine) const
-  {
-    constexpr double kCrowdedPerSlot = 2.5;
-    const TagBoard& board = engine.board();
-    const auto pool = board.pools.targetsOf(0);
-    return std::all_of(pool.begin(), pool.end(), [&](TargetSlot slot) {
-      const TargetLoad& load = board.observer.load(slot);
-      const double least =
-        kCrowdedPerSlot * static_cast<double>(this->pattern.slots);
-      return board.registry.at(slot).record.zone != board.settings.zone ||
-             load.busy + load.peerBusy >= least;
-    });
-  }
-
   void pauseCaller(std::size_t index)
   {
     const auto mean = static_cast<std::uint64_t>(this->pattern.pause.ms);
@@ -388,8 +304,8 @@
                 [=, this] { this->sendOpening(index, generation, copy + 1); });
     TagEngine* engine = this->engineOf(caller);
     const bool isDropped =
-      engine == nullptr ||
-      (this->pattern.pacesOpenings && copy < 2 && this->seemsCrowded(*engine));
+      engine == nullptr || (this->pattern.pacesOpenings && copy < 2 &&
+                            seemsCrowded(engine->board()));
     if (isDropped) {
       return;
     }
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -342,3 +342,28 @@
   }
   cr_assert_geq(inOwnZone, 6, "it left before its zone had a queue");
 }
+
+/// A zone that is cut off beside a queue of its own loses one copy of an
+/// opening to each target of another zone, not all openings.
+Test(steering, a_silent_target_of_another_zone_gets_no_more_flows)
+{
+  TagEngine engine(OneEngine::settings({}, "entry-1", 1));
+  MilliTime now{ 100000 };
+  const std::vector<TargetChange> targets{ listed(1, 1),
+                                           listed(2, 2, "booking", "b") };
+  engine.onRoutes(twoRoutes(1), now);
+  engine.onTargetListing(100, targets, now, now);
+  const TargetSlot far = engine.board().registry.findNumber(2);
+  unsigned client = 0;
+  while (engine.onPacket(opening(flowOf(client)), now).target != far) {
+    ++client;
+    cr_assert_lt(client, 30);
+  }
+  now = now + 200_ms;
+  engine.onPacket(opening(flowOf(client), 1), now);
+  for (unsigned other = 100; other < 120; ++other) {
+    const auto placed = engine.onPacket(opening(flowOf(other)), now);
+    cr_assert(placed.outcome == SteeringOutcome::forward);
+    cr_assert_neq(placed.target, far);
+  }
+}
