--- a/buckthornwing/src/Fleet/StoreReaders.h
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -51,9 +51,10 @@
 /// Load pattern: all instances lost power and start within half a second,
 /// while callers wait; if all read, the store's link is what they wait for.
 /// Those with fast links read at once, also when one starts alone, because it
-/// can't know whether a peer has a view. They pass the view on. The others spread their reads, the
-/// slower their link the less: over a slow link a peer is not faster than the
-/// store. At a first start nearly all have time to learn the view from peers.
+/// can't know whether a peer has a view. They pass the view on. The others
+/// spread their reads, the slower their link the less: over a slow link a peer
+/// is not faster than the store. At a first start nearly all have time to learn
+/// the view from peers.
 MilliDuration
 askPeersFor(const StarterSituation& situation, Random& random);
 
