A cold target counts no more as a busier one

Requests that queue tell of a slow target anyway.

The factor, its switch and the end of a target's cold start leave the code; the published rest of it is still read (platform/) and passed on, unused. 130 tests of the decisions pass; none was for it.

--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -11,8 +11,6 @@
 /// \brief What a request that must queue weighs against an open flow that may
 /// send one.
 constexpr double kQueueWeight = 6.0;
-/// \brief A cold target counts as this much busier.
-constexpr double kColdFactor = 1.6;
 /// \brief Rounds of requests by which the queue of another zone must be
 /// shorter. The way there and back takes about as long as one.
 constexpr double kZoneRounds = 2.0;
@@ -123,17 +121,14 @@
 }
 
 double
-placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now)
+placementLoad(const TagBoard& board, TargetSlot slot)
 {
-  const KnownTarget& target = board.registry.at(slot);
   const EstimatedLoad load = estimateLoad(board, slot);
-  const double slots = internal::slotsOf(target);
-  const TagPolicySettings& policy = board.settings.policy;
-  const bool isCold = policy.weighsCold && now < target.slowUntil;
-  const double cold = isCold ? internal::kColdFactor : 1.0;
-  const double queued =
-    policy.weighsQueues ? std::max(0.0, load.busy + 1 - slots) : 0.0;
-  return (load.flows + 1 + internal::kQueueWeight * queued) * cold / slots;
+  const double slots = internal::slotsOf(board.registry.at(slot));
+  const double queued = board.settings.policy.weighsQueues
+                          ? std::max(0.0, load.busy + 1 - slots)
+                          : 0.0;
+  return (load.flows + 1 + internal::kQueueWeight * queued) / slots;
 }
 
 TargetSlot
@@ -173,7 +168,7 @@
                          !board.settings.policy.prefersOwnZone;
     (isLocal ? own : other)
       .offer({ slot,
-               placementLoad(board, slot, now) +
+               placementLoad(board, slot) +
                  internal::silencePenalty(board, slot, now),
                internal::rendezvousScore(flow, target) });
   }
--- a/buckthornwing/src/Steering/PlacementPolicy.h
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -65,7 +65,7 @@
 
 /// \returns the load of a target per request slot, as placement compares it.
 double
-placementLoad(const TagBoard& board, TargetSlot slot, MilliTime now);
+placementLoad(const TagBoard& board, TargetSlot slot);
 
 /// \returns how many requests each slot of a target must finish before it
 /// takes up a new one.
--- a/buckthornwing/src/Steering/TagPolicySettings.h
+++ b/buckthornwing/src/Steering/TagPolicySettings.h
@@ -13,7 +13,6 @@
 {
   bool byLoad = true;         ///< placement by load; otherwise by hash alone
   bool weighsQueues = true;   ///< requests that must queue count in the load
-  bool weighsCold = true;     ///< cold targets count as busier
   bool prefersOwnZone = true; ///< new flows stay in the zone
   bool sharesZones = true;    ///< but leave one whose targets queue
   bool usesPeerLoads = true;  ///< what peers report counts in the load
@@ -39,7 +38,6 @@
 inline constexpr std::array kTagPolicyNames{
   TagPolicyName{ "load_placement", &TagPolicySettings::byLoad },
   TagPolicyName{ "queue_weight", &TagPolicySettings::weighsQueues },
-  TagPolicyName{ "cold_factor", &TagPolicySettings::weighsCold },
   TagPolicyName{ "zone_preference", &TagPolicySettings::prefersOwnZone },
   TagPolicyName{ "zone_sharing", &TagPolicySettings::sharesZones },
   TagPolicyName{ "peer_loads", &TagPolicySettings::usesPeerLoads },
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -55,7 +55,6 @@
   target.record = change.record;
   target.presence = TargetPresence::listed;
   target.changedAt = now;
-  target.slowUntil = now + change.record.slowFor;
   target.wasDraining = change.record.state == TargetState::draining;
 }
 
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -30,7 +30,6 @@
   std::uint64_t revision = 0;
   TargetPresence presence = TargetPresence::gone;
   MilliTime changedAt{};    ///< when the presence last changed
-  MilliTime slowUntil{};    ///< end of its cold start
   bool used = false;        ///< false: the slot is free
   bool wasDraining = false; ///< announced its end before it left
 
