--- a/test/io.cpp
+++ b/test/io.cpp
@@ -451,8 +451,8 @@
   std::string line;
   int count = 0;
   while (std::getline(written, line)) {
-    cr_assert_str_eq(line.c_str(),
-                     ("{\"line\":" + std::to_string(count) + "}").c_str());
+    const std::string expected = "{\"line\":" + std::to_string(count) + "}";
+    cr_assert_eq(line, expected);
     ++count;
   }
   std::remove(name);
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -332,7 +332,7 @@
   };
   for (unsigned client = 0; client < 50; ++client) {
     const auto placed = open(client);
-    cr_assert_str_eq(zoneOf(placed).c_str(), "a");
+    cr_assert_eq(zoneOf(placed), "a");
     finishRequest(client, placed.tag);
   }
   unsigned inOwnZone = 0;
