Logs and metrics show what fills the own link, and what each probe found

Users saw open flows of living targets reset on the large deployment. The logs could not tell why probes got no answer: whether the own link was full, with what, whether the process stood still, or whether the control of a verdict was asked at a better moment.

Added, no logic changed: `target_probed` (result and time of each probe), `traffic` (bytes by kind, estimated queue, longest gap between ticks, once a second while the link is busy), `view_served` and `view_fetched` (large updates between members), `store_read` (large answers of the store), `bytes_sent_total` and `bytes_received_total` by kind in place of `peer_bytes_sent_total`.

--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -23,6 +23,18 @@
 
 }
 
+namespace internal {
+
+/// \returns what an update holds and its size, for the log.
+std::string
+describeUpdate(ViewContent content, std::size_t bytes)
+{
+  const char* name = content == ViewContent::targets ? "targets, " : "routes, ";
+  return name + std::to_string(bytes) + " bytes";
+}
+
+}
+
 ViewExchange::ViewExchange(TagBoard& board,
                            ViewController& view,
                            FleetMembers& members,
@@ -309,6 +321,7 @@
       return;
     }
     request.transfer = *added;
+    this->reportServed(request, sender, now);
   }
   const std::string* encoded =
     this->served.find(request.transfer, request.offset, now);
@@ -317,6 +330,23 @@
   }
 }
 
+void
+ViewExchange::reportServed(const ViewRequest& request,
+                           const FleetMember& receiver,
+                           MilliTime now)
+{
+  const std::string* encoded =
+    this->served.find(request.transfer, request.offset, now);
+  if (encoded != nullptr && encoded->size() > kViewWindowBytes) {
+    this->board.events.push_back(
+      { TagEventKind::viewServed,
+        receiver.id,
+        0,
+        0,
+        internal::describeUpdate(request.content, encoded->size()) });
+  }
+}
+
 void
 ViewExchange::onPart(const ViewPart& body,
                      const FleetMember& sender,
@@ -333,6 +363,14 @@
     return;
   }
   const std::string& encoded = *progress.whole;
+  if (encoded.size() > kViewWindowBytes) {
+    this->board.events.push_back(
+      { TagEventKind::viewFetched,
+        sender.id,
+        0,
+        progress.took.ms,
+        internal::describeUpdate(body.content, encoded.size()) });
+  }
   const std::span bytes(reinterpret_cast<const std::uint8_t*>(encoded.data()),
                         encoded.size());
   const auto update = decodeViewUpdate(bytes);
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -107,6 +107,9 @@
   std::string encodeUpdate(ViewContent content,
                            std::uint64_t since,
                            MilliTime now) const;
+  void reportServed(const ViewRequest& request,
+                    const FleetMember& receiver,
+                    MilliTime now);
   void sendWindow(const Endpoint& to,
                   const std::string& encoded,
                   const ViewRequest& request);
--- a/buckthornwing/src/Fleet/ViewTransfer.cpp
+++ b/buckthornwing/src/Fleet/ViewTransfer.cpp
@@ -90,6 +90,7 @@
     transfer = Transfer{};
     transfer.id = part.transfer;
     transfer.bytes.resize(part.total);
+    transfer.startedAt = now;
   }
   transfer.heardAt = now;
   transfer.tries = 0;
@@ -102,6 +103,7 @@
   Progress progress;
   if (transfer.received >= part.total) {
     progress.whole = std::move(transfer.bytes);
+    progress.took = now - transfer.startedAt;
     this->bySender.erase(sender);
     return progress;
   }
--- a/buckthornwing/src/Fleet/ViewTransfer.h
+++ b/buckthornwing/src/Fleet/ViewTransfer.h
@@ -79,6 +79,7 @@
   {
     std::optional<std::string> whole; ///< the update, once it is complete
     std::optional<ViewRequest> next;  ///< what to ask the sender for
+    MilliDuration took{};             ///< since the first part, once complete
   };
 
   Progress add(const Endpoint& sender, const ViewPart& part, MilliTime now);
@@ -102,6 +103,7 @@
     std::string bytes;
     std::set<std::uint32_t> offsets; ///< of the parts that arrived
     std::size_t received = 0;
+    MilliTime startedAt{};
     MilliTime heardAt{};
     int tries = 0;
   };
--- a/buckthornwing/src/Io/HttpClient.cpp
+++ b/buckthornwing/src/Io/HttpClient.cpp
@@ -55,7 +55,8 @@
   std::function<void(HttpResult)> done;
   Clock::time_point wholeBy;
   Clock::time_point progressBy;
-  std::size_t newBytes = 0; ///< since progressBy was set
+  Clock::time_point answeredAt; ///< the first bytes came
+  std::size_t newBytes = 0;     ///< since progressBy was set
   http::request<http::empty_body> request;
   http::response_parser<http::string_body> parser;
   beast::flat_buffer buffer;
@@ -121,6 +122,9 @@
   {
     const bool isFirst = !this->answered;
     this->newBytes += size;
+    if (isFirst) {
+      this->answeredAt = Clock::now();
+    }
     if (isFirst || this->newBytes >= kHttpProgressBytes) {
       this->answered = true;
       this->newBytes = 0;
@@ -149,6 +153,11 @@
     HttpResult result;
     result.status = response.result_int();
     result.connected = true;
+    if (this->answered) {
+      const auto took = Clock::now() - this->answeredAt;
+      result.answerTook.ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(took).count();
+    }
     for (const auto& field : response) {
       result.fields.emplace(field.name_string(), field.value());
     }
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -19,7 +19,9 @@
   std::map<std::string, std::string> fields; ///< of the answer's head
   bool connected = false;                    ///< the server took the connection
   bool refused = false; ///< its machine answered that nothing listens
-  std::string failure;  ///< the step and cause if there was no answer
+  MilliDuration
+    answerTook{};      ///< from the first bytes of the answer to the last
+  std::string failure; ///< the step and cause if there was no answer
 };
 
 /// \brief Bytes of an answer that count as progress. A server that sends fewer
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -44,6 +44,18 @@
   }
 }
 
+boost::json::object
+bytesByKind(const TrafficBytes& bytes)
+{
+  boost::json::object kinds;
+  for (std::size_t i = 0; i < bytes.size(); ++i) {
+    if (bytes[i] != 0) {
+      kinds[trafficKindName(static_cast<TrafficKind>(i))] = bytes[i];
+    }
+  }
+  return kinds;
+}
+
 void
 addView(const TagBoard& board, MilliTime now, boost::json::object& line)
 {
@@ -145,6 +157,21 @@
   this->log.write(boost::json::serialize(line));
 }
 
+void
+TagLog::traffic(const TrafficReport& report)
+{
+  boost::json::object line;
+  line["time_ms"] = wallClockMilliseconds();
+  line["instance"] = this->instance;
+  line["event"] = "traffic";
+  line["span_ms"] = report.span.ms;
+  line["backlog_ms"] = report.mostBacklog.ms;
+  line["tick_gap_ms"] = report.mostTickGap.ms;
+  line["sent_bytes"] = internal::bytesByKind(report.sent);
+  line["received_bytes"] = internal::bytesByKind(report.received);
+  this->log.write(boost::json::serialize(line));
+}
+
 void
 TagLog::note(std::string_view event, std::string_view text)
 {
--- a/buckthornwing/src/Io/TagLog.h
+++ b/buckthornwing/src/Io/TagLog.h
@@ -5,6 +5,7 @@
 #include "../Steering/TagEngine.h"
 #include "JsonLog.h"
 #include "TagServerSettings.h"
+#include "TrafficMeter.h"
 
 #include <array>
 #include <optional>
@@ -30,6 +31,8 @@
                 std::optional<MilliDuration> heldFor,
                 MilliTime now);
   void change(const TagBoard& board, const TagEvent& event, MilliTime now);
+  /// \brief Logs a span in which the own link was busy.
+  void traffic(const TrafficReport& report);
   /// \brief Logs a step in the process's life.
   void note(std::string_view event, std::string_view text);
   /// \brief Tells how many lines were left out since the last call.
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -72,10 +72,21 @@
     std::span(host.peerFaults).subspan(1),
     [](auto i) { return peerFaultName(static_cast<PeerFault>(i + 1)); },
     writer);
-  writer.single("peer_bytes_sent_total",
-                "counter",
-                "Bytes sent to other instances",
-                host.peerBytesSent);
+  const auto kindName = [](auto i) {
+    return trafficKindName(static_cast<TrafficKind>(i));
+  };
+  writeByKind("bytes_sent_total",
+              "Bytes sent over the own link",
+              "kind",
+              host.bytesSent,
+              kindName,
+              writer);
+  writeByKind("bytes_received_total",
+              "Bytes received over the own link",
+              "kind",
+              host.bytesReceived,
+              kindName,
+              writer);
   writer.single("store_calls_total",
                 "counter",
                 "Calls to the platform's store",
--- a/buckthornwing/src/Io/TagReport.h
+++ b/buckthornwing/src/Io/TagReport.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_TAG_REPORT_H
 
 #include "../Steering/TagBoard.h"
+#include "TrafficMeter.h"
 
 #include <array>
 #include <string>
@@ -16,8 +17,8 @@
   std::uint64_t notHeld = 0;   ///< packets dropped because too many wait
   std::uint64_t sendsLost = 0; ///< datagrams that the kernel did not take
   std::array<std::uint64_t, 8> peerFaults{}; ///< by PeerFault
-  std::uint64_t peerBytesSent = 0;
-  std::uint64_t peerBytesReceived = 0;
+  TrafficBytes bytesSent{};
+  TrafficBytes bytesReceived{};
   std::uint64_t storeCalls = 0;
   std::uint64_t storeFailures = 0;
   LatencyHistogram storeListings; ///< from the call to the whole list
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -9,6 +9,7 @@
 #include "TagLog.h"
 #include "TagReport.h"
 #include "TagServerSettings.h"
+#include "TrafficMeter.h"
 #include "UdpSocket.h"
 #include "WallClock.h"
 
@@ -61,6 +62,9 @@
   {
     source.failures()
     } -> std::convertible_to<std::uint64_t>;
+  {
+    source.takeReceivedBytes()
+    } -> std::convertible_to<std::size_t>;
   {
     source.listingTimes()
     } -> std::convertible_to<LatencyHistogram>;
@@ -83,6 +87,7 @@
     , jsonLog({})
     , log(jsonLog, settings.tag.id, settings.logLevel)
     , engine(settings.tag)
+    , traffic(settings.tag.linkMegabits)
     , source(context, settings, engine, [this] { this->afterInput(); })
     , tickTimer(context)
   {
@@ -166,6 +171,7 @@
   JsonLog jsonLog;
   TagLog log;
   TagEngine engine;
+  TrafficMeter traffic;
   Source source;
   boost::asio::steady_timer tickTimer;
   HeldPackets held;
@@ -181,6 +187,7 @@
     const MilliTime now = bootTime();
     this->lastPacketAt = now;
     ++this->counters.packets;
+    this->traffic.onReceived(TrafficKind::packets, datagram.size());
     CallerPacket packet;
     const PacketFault fault =
       datagram.size() + sizeof(std::uint64_t) > this->out.size()
@@ -282,6 +289,7 @@
   void send(std::span<const std::uint8_t> bytes, const Endpoint& to)
   {
     this->counters.sendsLost += this->packets.send(bytes, to) ? 0 : 1;
+    this->traffic.onSent(TrafficKind::packets, bytes.size(), bootTime());
   }
 
   void onPeer(std::span<const std::uint8_t> datagram)
@@ -292,16 +300,18 @@
       ++this->counters.peerFaults[static_cast<std::size_t>(fault)];
       return;
     }
-    this->counters.peerBytesReceived += datagram.size();
+    this->traffic.onReceived(trafficKindOf(message), datagram.size());
     this->engine.onFleetMessage(message, bootTime());
     this->afterInput();
   }
 
   void flushPeers()
   {
+    const MilliTime now = bootTime();
     for (const OutgoingFleetMessage& outgoing : this->engine.takeOutgoing()) {
       const auto datagram = this->codec.seal(outgoing.message);
-      this->counters.peerBytesSent += datagram.size();
+      this->traffic.onSent(
+        trafficKindOf(outgoing.message), datagram.size(), now);
       this->peers.send(datagram, outgoing.to);
     }
   }
@@ -370,6 +380,7 @@
     this->afterInput();
     this->decideHeld(now);
     this->listIfWanted(now);
+    this->reportTraffic(now);
     this->log.reportSuppressed();
     if (this->mayStop(now)) {
       this->finishStop();
@@ -378,6 +389,16 @@
     this->scheduleTick();
   }
 
+  void reportTraffic(MilliTime now)
+  {
+    this->traffic.onTick(now);
+    this->traffic.onReceived(TrafficKind::storeAnswers,
+                             this->source.takeReceivedBytes());
+    if (const auto report = this->traffic.takeReport(now)) {
+      this->log.traffic(*report);
+    }
+  }
+
   bool mayStop(MilliTime now) const
   {
     if (this->stopAt.ms == 0) {
@@ -408,6 +429,8 @@
     this->counters.storeCalls = this->source.calls();
     this->counters.storeFailures = this->source.failures();
     this->counters.storeListings = this->source.listingTimes();
+    this->counters.bytesSent = this->traffic.sent();
+    this->counters.bytesReceived = this->traffic.received();
     this->counters.logLinesLost = this->log.suppressed() + this->jsonLog.lost();
     const TagBoard& board = this->engine.board();
     if (target == Source::kReadyPath || target == "/healthz") {
--- a/buckthornwing/src/Observation/TargetHealth.h
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -24,6 +24,23 @@
   otherTarget, ///< another target has its address now
 };
 
+/// \returns a stable lower-case name for the log.
+constexpr const char*
+probeResultName(ProbeResult result)
+{
+  switch (result) {
+    case ProbeResult::alive:
+      return "alive";
+    case ProbeResult::refused:
+      return "refused";
+    case ProbeResult::silent:
+      return "silent";
+    case ProbeResult::otherTarget:
+      return "other target";
+  }
+  return "unknown";
+}
+
 /// \brief A target's reachability as this instance sees it.
 struct TargetHealth
 {
@@ -32,6 +49,7 @@
   bool probing = false;
   bool hasLeft = false; ///< dead, and the registry said that it left
   MilliTime changedAt{};
+  MilliTime probedAt{}; ///< start of the newest probe
   MilliTime nextProbeAt{};
   MilliTime avoidUntil{}; ///< a peer found it dead
 };
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -32,6 +32,20 @@
                                  cause });
 }
 
+void
+HealthController::reportProbe(TargetSlot target,
+                              ProbeResult result,
+                              MilliTime now)
+{
+  const bool isControl = target == this->control;
+  this->board.events.push_back(
+    { TagEventKind::targetProbed,
+      this->board.registry.at(target).record.id,
+      this->board.registry.at(target).revision,
+      (now - this->board.healthFor(target).probedAt).ms,
+      std::string(isControl ? "control: " : "") + probeResultName(result) });
+}
+
 void
 HealthController::onRepeated(TargetSlot target, MilliTime sentAt, MilliTime now)
 {
@@ -115,6 +129,7 @@
     return;
   }
   health.probing = true;
+  health.probedAt = now;
   health.nextProbeAt = now + internal::kDeadProbePeriod;
   ++this->board.counters.probes;
   this->probes.push_back(target);
@@ -127,6 +142,7 @@
 {
   TargetHealth& health = this->board.healthFor(target);
   health.probing = false;
+  this->reportProbe(target, result, now);
   const bool isAlive = result == ProbeResult::alive;
   if (isAlive) {
     this->board.observer.loadFor(target).progressAt = now;
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -62,6 +62,7 @@
   void onControlResult(bool isAlive, MilliTime now);
   void onFailedProbe(TargetSlot target, ProbeResult result, MilliTime now);
   void askForProbe(TargetSlot target, MilliTime now);
+  void reportProbe(TargetSlot target, ProbeResult result, MilliTime now);
   void report(TagEventKind kind,
               TargetSlot target,
               MilliTime now,
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -8,6 +8,8 @@
 /// \brief A gap between ticks above this means that the process stood still.
 constexpr MilliDuration kPauseGap{ 1000 };
 constexpr MilliDuration kSweepPeriod{ 1000 };
+/// \brief An answer of the store that takes a slow link for a while.
+constexpr std::size_t kLargeAnswerBytes = 20000;
 
 }
 
@@ -91,6 +93,20 @@
   this->fleet.tellConfirmed(now);
 }
 
+void
+TagEngine::onStoreAnswer(std::string_view keys,
+                         std::size_t bytes,
+                         MilliDuration took)
+{
+  if (bytes >= internal::kLargeAnswerBytes) {
+    this->state.events.push_back({ TagEventKind::storeRead,
+                                   std::string(keys),
+                                   0,
+                                   took.ms,
+                                   std::to_string(bytes) + " bytes" });
+  }
+}
+
 void
 TagEngine::onStoreFailure(const std::string& cause, MilliTime now)
 {
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -43,6 +43,12 @@
   /// \brief Notes that the platform did not answer.
   void onStoreFailure(const std::string& cause, MilliTime now);
 
+  /// \brief Notes the size of an answer of the platform about some keys, and
+  /// the time from its first byte to its last.
+  void onStoreAnswer(std::string_view keys,
+                     std::size_t bytes,
+                     MilliDuration took);
+
   void onProbeResult(TargetSlot target, ProbeResult result, MilliTime now);
   void onFleetMessage(const FleetMessage& message, MilliTime now);
 
--- a/buckthornwing/src/Steering/TagEvent.cpp
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -20,6 +20,8 @@
       return "target_trusted";
     case TagEventKind::targetDead:
       return "target_dead";
+    case TagEventKind::targetProbed:
+      return "target_probed";
     case TagEventKind::routes:
       return "routes";
     case TagEventKind::registryLoaded:
@@ -34,6 +36,12 @@
       return "store_lost";
     case TagEventKind::storeRegained:
       return "store_regained";
+    case TagEventKind::viewServed:
+      return "view_served";
+    case TagEventKind::viewFetched:
+      return "view_fetched";
+    case TagEventKind::storeRead:
+      return "store_read";
     case TagEventKind::paused:
       return "paused";
   }
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -18,6 +18,7 @@
   targetSuspected, ///< silent: no new flows
   targetTrusted,   ///< answers again
   targetDead,      ///< confirmed by a probe
+  targetProbed,    ///< with what the probe found, and in which time
   routes,          ///< a configuration came into force
   registryLoaded,
   memberJoined,
@@ -25,7 +26,10 @@
   membersChanged, ///< many at once, of the zone that is the subject
   storeLost,
   storeRegained,
-  paused, ///< the process did not run for a while
+  viewServed,  ///< a member begins to fetch a large update from here
+  viewFetched, ///< a large update came from a member
+  storeRead,   ///< a large answer of the store came in
+  paused,      ///< the process did not run for a while
 };
 
 /// \returns a stable lower-case name for the log.
--- a/test/io.cpp
+++ b/test/io.cpp
@@ -458,3 +458,32 @@
   std::remove(name);
   cr_assert_eq(count, kLines);
 }
+
+/// Whether an instance's own link was full could not be seen in its log.
+Test(traffic, a_second_in_which_the_link_was_busy_is_reported_by_kind)
+{
+  constexpr double kMegabits = 2;
+  constexpr std::size_t kPart = 1250;
+  TrafficMeter meter(kMegabits);
+  MilliTime now{ 5000 };
+  meter.onTick(now);
+  cr_assert_not(meter.takeReport(now).has_value());
+  for (int i = 0; i < 80; ++i) {
+    meter.onSent(TrafficKind::viewParts, kPart, now);
+  }
+  meter.onReceived(TrafficKind::packets, 100);
+  now = now + MilliDuration{ 1000 };
+  meter.onTick(now);
+  const auto busy = meter.takeReport(now);
+  cr_assert(busy.has_value());
+  cr_assert_eq(busy->mostBacklog.ms, 400, "100 KB at 250 bytes a millisecond");
+  cr_assert_eq(busy->mostTickGap.ms, 1000);
+  const auto parts = static_cast<std::size_t>(TrafficKind::viewParts);
+  cr_assert_eq(busy->sent[parts], 80 * kPart);
+  cr_assert_eq(busy->received[0], 100);
+  for (int tick = 0; tick < 10; ++tick) {
+    now = now + MilliDuration{ 100 };
+    meter.onTick(now);
+  }
+  cr_assert_not(meter.takeReport(now).has_value(), "a calm second");
+}
