--- a/test/tag/own_link.cpp
+++ b/test/tag/own_link.cpp
@@ -49,7 +49,7 @@
 restartAtRandom(OwnLinkWorld& world, std::size_t index)
 {
   world.events.after(2_s + world.anyOf(12000), [&world, index] {
-    world.restart(index);
+    world.fleet.restart(index);
     restartAtRandom(world, index);
   });
 }
@@ -58,9 +58,8 @@
 passOnViews(OwnLinkWorld& world)
 {
   for (std::size_t i = 0; i < kReceivers; ++i) {
-    world.events.after(world.anyOf(8000), [&world] {
-      restartAtRandom(world, world.addInstance());
-    });
+    world.events.after(world.anyOf(8000),
+                       [&world] { restartAtRandom(world, world.fleet.add()); });
   }
 }
 
