Silence makes a target dead only if another one answers after it

What callers saw: open flows of living targets were reset (FLOW), on the large deployment while instances were restarted one after another just after a storm of configurations.

Cause: a silent probe means "no connection within 250 ms", but on a link that is full with views the answers take longer. The verdict rested on two such silences with one control in between, at another moment of the queue; no control ran beside the second. When all targets of the zone were suspected at once there was no control at all and two silences were proof. Late answers were thrown away.

Ruled out: a process that stood still, a view without the target, an address used anew.

Change: each silence counts only if another target answers a probe that was sent after it. The own link carries both in order, so whatever delayed the first answer delays the second. A connection that is taken late starts the verdict over; what its answer says counts if it is of the same target (an address may have been given away). Results are handled after all input that came before them. Without anyone to compare with silence proves nothing. A target that was silent as a control is the last choice for 2 s, so that two that crash together do not vouch against each other. A target that made progress elsewhere since is not dead.

Tests: `silence_is_proof_only_if_another_target_answers` took a second silence without a control for proof, which is the fault; it is replaced by `each_silence_is_proof_only_if_another_target_answers_after_it`, which asks for a control after each. On the code before, it and four more of the new tests of health fail (a fifth and sixth need the new calls); the first two of own_link fail there too.

--- a/buckthornwing/src/Io/HttpClient.cpp
+++ b/buckthornwing/src/Io/HttpClient.cpp
@@ -20,10 +20,10 @@
 public:
   HttpExchange(boost::asio::io_context& context,
                const HttpLimits& limits,
-               std::function<void(HttpResult)> done)
+               HttpHooks hooks)
     : stream(context)
     , limits(limits)
-    , done(std::move(done))
+    , hooks(std::move(hooks))
   {
     this->parser.body_limit(limits.mostBytes);
   }
@@ -52,7 +52,7 @@
 
   beast::tcp_stream stream;
   HttpLimits limits;
-  std::function<void(HttpResult)> done;
+  HttpHooks hooks;
   Clock::time_point wholeBy;
   Clock::time_point progressBy;
   Clock::time_point answeredAt; ///< the first bytes came
@@ -80,7 +80,7 @@
     result.failure = std::string(step) + ": " + code.message();
     result.connected = this->connected;
     result.refused = code == boost::asio::error::connection_refused;
-    this->done(std::move(result));
+    this->hooks.done(std::move(result));
   }
 
   void onConnected(const beast::error_code& code)
@@ -90,6 +90,9 @@
       return;
     }
     this->connected = true;
+    if (this->hooks.connected) {
+      this->hooks.connected();
+    }
     http::async_write(
       this->stream,
       this->request,
@@ -162,7 +165,7 @@
       result.fields.emplace(field.name_string(), field.value());
     }
     result.body = std::move(response.body());
-    this->done(std::move(result));
+    this->hooks.done(std::move(result));
   }
 };
 
@@ -173,12 +176,22 @@
         const Endpoint& server,
         const std::string& path,
         const HttpLimits& limits,
-        std::function<void(HttpResult)> done)
+        HttpHooks hooks)
 {
-  std::make_shared<internal::HttpExchange>(context, limits, std::move(done))
+  std::make_shared<internal::HttpExchange>(context, limits, std::move(hooks))
     ->start(server, path);
 }
 
+void
+httpGet(boost::asio::io_context& context,
+        const Endpoint& server,
+        const std::string& path,
+        const HttpLimits& limits,
+        std::function<void(HttpResult)> done)
+{
+  httpGet(context, server, path, limits, HttpHooks{ {}, std::move(done) });
+}
+
 void
 httpGet(boost::asio::io_context& context,
         const Endpoint& server,
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -37,6 +37,22 @@
   std::size_t mostBytes = 0;      ///< of the body; a larger one is a failure
 };
 
+/// \brief What the caller of a GET exchange is told of.
+struct HttpHooks
+{
+  std::function<void()> connected;      ///< at once when the server took the
+                                        ///< connection; may be empty
+  std::function<void(HttpResult)> done; ///< once, later
+};
+
+/// \brief Starts a GET request.
+void
+httpGet(boost::asio::io_context& context,
+        const Endpoint& server,
+        const std::string& path,
+        const HttpLimits& limits,
+        HttpHooks hooks);
+
 /// \brief Starts a GET request; \a done is called once, later.
 void
 httpGet(boost::asio::io_context& context,
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -9,11 +9,13 @@
 #include "TagLog.h"
 #include "TagReport.h"
 #include "TagServerSettings.h"
+#include "TargetProbe.h"
 #include "TrafficMeter.h"
 #include "UdpSocket.h"
 #include "WallClock.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <concepts>
 #include <functional>
@@ -50,12 +52,12 @@
 concept ViewSource = requires(Source source,
                               const TargetRecord& target,
                               const std::string& healthPath,
-                              std::function<void(ProbeResult)> done)
+                              ProbeHooks hooks)
 {
   source.start();
   source.stop();
   source.refreshTargets();
-  source.probe(target, healthPath, done);
+  source.probe(target, healthPath, hooks);
   {
     source.calls()
     } -> std::convertible_to<std::uint64_t>;
@@ -161,6 +163,14 @@
   /// No packet for so long means that the fabric uses other instances.
   static constexpr MilliDuration kQuiet{ 500 };
 
+  /// \brief A target as it was when its probe began.
+  struct ProbedTarget
+  {
+    TargetSlot slot = kNoTargetSlot;
+    std::string id;
+    Endpoint address;
+  };
+
   boost::asio::io_context& context;
   TagServerSettings settings;
   UdpSocket packets;
@@ -321,15 +331,46 @@
     for (const TargetSlot slot : this->engine.takeProbes()) {
       const TargetRecord& target =
         this->engine.board().registry.at(slot).record;
-      this->source.probe(target,
-                         this->engine.healthPathOf(slot),
-                         [this, slot](ProbeResult result) {
-                           this->engine.onProbeResult(slot, result, bootTime());
-                           this->afterInput();
-                         });
+      const ProbedTarget probed{ slot, target.id, target.address };
+      ProbeHooks hooks;
+      hooks.result = [this, probed](ProbeResult result) {
+        this->afterQueuedInput(probed, [this, probed, result](MilliTime now) {
+          this->engine.onProbeResult(probed.slot, result, now);
+        });
+      };
+      hooks.lateConnection = [this, probed] {
+        this->afterQueuedInput(probed, [this, probed](MilliTime now) {
+          this->engine.onLateConnection(probed.slot, now);
+        });
+      };
+      hooks.lateResult = [this, probed](ProbeResult result) {
+        this->afterQueuedInput(probed, [this, probed, result](MilliTime now) {
+          this->engine.onLateResult(probed.slot, result, now);
+        });
+      };
+      this->source.probe(
+        target, this->engine.healthPathOf(slot), std::move(hooks));
     }
   }
 
+  /// \brief Tells the engine what a probe found, once all input that came
+  /// before was handled: answers must count in the order in which they came.
+  void afterQueuedInput(const ProbedTarget& probed,
+                        std::function<void(MilliTime now)> tell)
+  {
+    boost::asio::post(this->context, [this, probed, tell = std::move(tell)] {
+      const TargetRecord& target =
+        this->engine.board().registry.at(probed.slot).record;
+      // Meanwhile the slot may hold another target, or one that moved.
+      const bool isSame =
+        target.id == probed.id && target.address == probed.address;
+      if (!this->stopped && isSame) {
+        tell(bootTime());
+        this->afterInput();
+      }
+    });
+  }
+
   void resetRescued(MilliTime now)
   {
     for (const RescuedFlow& rescued : this->engine.takeRescued()) {
--- a/buckthornwing/src/Observation/TargetHealth.h
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -15,6 +15,12 @@
   dead,      ///< probes found that it does not answer
 };
 
+/// \brief A probe without an answer for so long is silent; several round trips
+/// between zones.
+inline constexpr MilliDuration kProbeTimeout{ 250 };
+/// \brief An answer that comes within this time after it is still heard.
+inline constexpr MilliDuration kLateAnswerTime{ 1750 };
+
 /// \brief What a probe of a target found.
 enum class ProbeResult : std::uint8_t
 {
@@ -52,6 +58,8 @@
   MilliTime probedAt{}; ///< start of the newest probe
   MilliTime nextProbeAt{};
   MilliTime avoidUntil{}; ///< a peer found it dead
+  MilliTime
+    otherControlsUntil{}; ///< was silent as a control, so others go first
 };
 
 }
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -1,6 +1,7 @@
 #include "HealthController.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace buckthornwing {
@@ -9,6 +10,10 @@
 /// \brief One silent probe says little; a refused one says all.
 constexpr std::uint8_t kSilentProbes = 2;
 constexpr MilliDuration kDeadProbePeriod{ 1000 };
+/// \brief After trouble of the own link a suspected target is asked again.
+constexpr MilliDuration kRetryPause{ 250 };
+/// \brief A target that was silent as a control is the last choice for so long.
+constexpr MilliDuration kSilentControlPause{ 2000 };
 /// \brief What a peer found keeps new flows away for so long.
 constexpr MilliDuration kPeerVerdictLife{ 1500 };
 /// \brief A verdict counts only if this process ran all the time.
@@ -34,16 +39,15 @@
 
 void
 HealthController::reportProbe(TargetSlot target,
-                              ProbeResult result,
+                              const std::string& found,
                               MilliTime now)
 {
-  const bool isControl = target == this->control;
   this->board.events.push_back(
     { TagEventKind::targetProbed,
       this->board.registry.at(target).record.id,
       this->board.registry.at(target).revision,
       (now - this->board.healthFor(target).probedAt).ms,
-      std::string(isControl ? "control: " : "") + probeResultName(result) });
+      found });
 }
 
 void
@@ -142,55 +146,100 @@
 {
   TargetHealth& health = this->board.healthFor(target);
   health.probing = false;
-  this->reportProbe(target, result, now);
-  const bool isAlive = result == ProbeResult::alive;
-  if (isAlive) {
-    this->board.observer.loadFor(target).progressAt = now;
-    this->onProgress(target, now);
+  const bool isControl = target == this->control;
+  this->reportProbe(target,
+                    std::string(isControl ? "control: " : "") +
+                      probeResultName(result),
+                    now);
+  if (result == ProbeResult::alive) {
+    this->onAnswer(target, now);
   } else if (this->board.lastTickGap <= internal::kMostTickGap &&
              health.state == HealthState::suspected) {
     this->onFailedProbe(target, result, now);
   }
-  if (target == this->control) {
+  if (isControl) {
     this->control = kNoTargetSlot;
-    this->onControlResult(isAlive, now);
+    this->onControlResult(target, result, now);
+  }
+}
+
+void
+HealthController::onLateConnection(TargetSlot target, MilliTime now)
+{
+  if (this->board.healthState(target) == HealthState::suspected) {
+    this->startOver(target, now);
+  }
+}
+
+void
+HealthController::onLateResult(TargetSlot target,
+                               ProbeResult result,
+                               MilliTime now)
+{
+  this->reportProbe(
+    target, std::string("late: ") + probeResultName(result), now);
+  if (result == ProbeResult::alive) {
+    this->onAnswer(target, now);
+  } else if (this->board.healthState(target) == HealthState::suspected) {
+    this->markDead(target, now);
+  } else {
+    this->suspect(target, now, "a late answer denied it");
   }
 }
 
+void
+HealthController::onAnswer(TargetSlot target, MilliTime now)
+{
+  this->board.observer.loadFor(target).progressAt = now;
+  this->onProgress(target, now);
+}
+
 void
 HealthController::onFailedProbe(TargetSlot target,
                                 ProbeResult result,
                                 MilliTime now)
 {
   TargetHealth& health = this->board.healthFor(target);
-  ++health.failedProbes;
   if (result != ProbeResult::silent) {
     this->markDead(target, now);
     return;
   }
-  if (health.failedProbes == 1) {
-    this->askForControl(target, now);
-    return;
-  }
-  const bool isControlled = health.failedProbes >= internal::kSilentProbes;
-  if (isControlled) {
-    this->markDead(target, now);
-  }
+  ++health.failedProbes;
+  this->askForControl(target, now);
+}
+
+bool
+HealthController::wasSilentControl(TargetSlot slot, MilliTime now) const
+{
+  return slot < this->board.health.size() &&
+         now < this->board.health[slot].otherControlsUntil;
+}
+
+bool
+HealthController::isFitAsControl(TargetSlot slot, TargetSlot target) const
+{
+  const bool isProbing =
+    slot < this->board.health.size() && this->board.health[slot].probing;
+  return slot != target && !isProbing &&
+         this->board.registry.at(slot).takesNewFlows() &&
+         this->board.healthState(slot) == HealthState::trusted;
 }
 
 TargetSlot
-HealthController::chooseControl(TargetSlot target) const
+HealthController::chooseControl(TargetSlot target, MilliTime now) const
 {
+  const auto rank = [this, now](TargetSlot slot) {
+    const bool isNear =
+      this->board.registry.at(slot).record.zone == this->board.settings.zone;
+    return std::tuple(!this->wasSilentControl(slot, now),
+                      isNear,
+                      this->board.lastProgress(slot).ms);
+  };
   TargetSlot best = kNoTargetSlot;
   for (TargetSlot slot = 0; slot < this->board.registry.targets().size();
        ++slot) {
-    const KnownTarget& known = this->board.registry.at(slot);
-    const bool isFit = slot != target && known.takesNewFlows() &&
-                       known.record.zone == this->board.settings.zone &&
-                       this->board.healthState(slot) == HealthState::trusted;
-    const bool isBetter =
-      isFit && (best == kNoTargetSlot || this->board.lastProgress(slot) >
-                                           this->board.lastProgress(best));
+    const bool isBetter = this->isFitAsControl(slot, target) &&
+                          (best == kNoTargetSlot || rank(slot) > rank(best));
     if (isBetter) {
       best = slot;
     }
@@ -202,32 +251,74 @@
 HealthController::askForControl(TargetSlot target, MilliTime now)
 {
   if (this->control == kNoTargetSlot) {
-    this->control = this->chooseControl(target);
-    if (this->control == kNoTargetSlot) {
-      // Nobody is left to compare with.
-      this->askForProbe(target, now);
-      return;
-    }
+    this->startControl(target, now);
+  }
+  if (this->control == kNoTargetSlot) {
+    // Without comparison silence proves nothing.
+    this->startOver(target, now);
+    return;
+  }
+  this->awaitingControl.push_back({ target, now });
+}
+
+void
+HealthController::startControl(TargetSlot target, MilliTime now)
+{
+  this->control = this->chooseControl(target, now);
+  if (this->control != kNoTargetSlot) {
     this->askForProbe(this->control, now);
   }
-  this->awaitingControl.push_back(target);
 }
 
 void
-HealthController::onControlResult(bool isAlive, MilliTime now)
+HealthController::startOver(TargetSlot target, MilliTime now)
+{
+  TargetHealth& health = this->board.healthFor(target);
+  health.failedProbes = 0;
+  health.nextProbeAt = now + internal::kRetryPause;
+}
+
+void
+HealthController::onControlResult(TargetSlot answered,
+                                  ProbeResult result,
+                                  MilliTime now)
 {
-  for (const TargetSlot target : std::exchange(this->awaitingControl, {})) {
-    TargetHealth& health = this->board.healthFor(target);
-    if (isAlive) {
-      this->askForProbe(target, now);
+  const MilliTime askedAt = this->board.healthFor(answered).probedAt;
+  if (result != ProbeResult::alive) {
+    // It may be dead itself, so that the next one is to be another.
+    this->board.healthFor(answered).otherControlsUntil =
+      now + internal::kSilentControlPause;
+  }
+  for (const AwaitedControl& each : std::exchange(this->awaitingControl, {})) {
+    if (this->board.healthState(each.target) != HealthState::suspected) {
+      continue;
+    }
+    if (result != ProbeResult::alive) {
+      // The own link is in trouble.
+      this->startOver(each.target, now);
+    } else if (each.since > askedAt) {
+      // It was asked too soon to tell.
+      this->askForControl(each.target, now);
     } else {
-      // The own link is in trouble; start over later.
-      health.failedProbes = 0;
-      health.nextProbeAt = now + internal::kDeadProbePeriod;
+      this->onControlledSilence(each.target, now);
     }
   }
 }
 
+void
+HealthController::onControlledSilence(TargetSlot target, MilliTime now)
+{
+  const TargetHealth& health = this->board.healthFor(target);
+  if (this->board.lastProgress(target) > health.changedAt) {
+    // It answers other instances.
+    this->startOver(target, now);
+  } else if (health.failedProbes >= internal::kSilentProbes) {
+    this->markDead(target, now);
+  } else {
+    this->askForProbe(target, now);
+  }
+}
+
 void
 HealthController::tick(MilliTime now)
 {
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -161,6 +161,18 @@
   this->health.onProbeResult(target, result, now);
 }
 
+void
+TagEngine::onLateConnection(TargetSlot target, MilliTime now)
+{
+  this->health.onLateConnection(target, now);
+}
+
+void
+TagEngine::onLateResult(TargetSlot target, ProbeResult result, MilliTime now)
+{
+  this->health.onLateResult(target, result, now);
+}
+
 std::string
 TagEngine::healthPathOf(TargetSlot target) const
 {
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -50,6 +50,11 @@
                      MilliDuration took);
 
   void onProbeResult(TargetSlot target, ProbeResult result, MilliTime now);
+  /// \brief Notes that after `silent` something at a target's address took the
+  /// connection.
+  void onLateConnection(TargetSlot target, MilliTime now);
+  /// \brief Notes what the answer to a probe said that came after its result.
+  void onLateResult(TargetSlot target, ProbeResult result, MilliTime now);
   void onFleetMessage(const FleetMessage& message, MilliTime now);
 
   void tick(MilliTime now);
--- a/test/tag/OwnLinkWorld.h
+++ b/test/tag/OwnLinkWorld.h
@@ -109,8 +109,6 @@
 
 private:
   static constexpr std::size_t kHeaderBytes = SlowLinkFleet::kHeaderBytes;
-  static constexpr MilliDuration kProbeWithin{ 250 };
-
   std::set<std::uint64_t> crashed;
 
   /// \brief The store has no news, which is small.
@@ -146,22 +144,14 @@
     }
   }
 
-  /// \brief Late answers count where the engine has a call for them.
-  template<typename Engine>
-  static void tellLateAnswer(Engine& engine, TargetSlot slot, MilliTime now)
-  {
-    if constexpr (requires { engine.onLateAnswer(slot, now); }) {
-      engine.onLateAnswer(slot, now);
-    }
-  }
-
   void probe(std::size_t index, TargetSlot slot)
   {
     const auto isOver = std::make_shared<bool>(false);
     const std::uint64_t number = this->fleet.numberOf(index, slot);
     const auto answered = [this, slot, isOver](TagEngine& engine) {
       if (std::exchange(*isOver, true)) {
-        tellLateAnswer(engine, slot, this->events.now);
+        engine.onLateConnection(slot, this->events.now);
+        engine.onLateResult(slot, ProbeResult::alive, this->events.now);
       } else {
         engine.onProbeResult(slot, ProbeResult::alive, this->events.now);
       }
@@ -174,7 +164,7 @@
         });
       }
     });
-    this->events.after(kProbeWithin,
+    this->events.after(kProbeTimeout,
                        [=, this] { this->endProbe(index, slot, isOver); });
   }
 
--- a/test/tag/health.cpp
+++ b/test/tag/health.cpp
@@ -62,24 +62,150 @@
             HealthState::trusted);
 }
 
-/// t-100 is the only other target of the zone, so it is the control.
-Test(health, silence_is_proof_only_if_another_target_answers)
+/// t-100 is the only other target of the zone, so it is the control. Beside a
+/// full link a second silence made living targets dead, because the control
+/// had answered before it.
+Test(health, each_silence_is_proof_only_if_another_target_answers_after_it)
 {
   OneEngine world(1);
   const auto placed = world.open(flowOf(1));
   sendTwice(world, flowOf(1), placed.tag);
+  for (int round = 0; round < 2; ++round) {
+    answerProbes(world, ProbeResult::silent);
+    cr_assert(world.engine.board().healthState(placed.target) ==
+              HealthState::suspected);
+    const auto control = world.engine.takeProbes();
+    cr_assert_eq(control.size(), 1);
+    cr_assert_neq(control[0], placed.target);
+    world.engine.onProbeResult(control[0], ProbeResult::alive, world.now);
+  }
+  cr_assert(world.engine.board().healthState(placed.target) ==
+            HealthState::dead);
+}
+
+Test(health, a_second_silence_beside_a_silent_control_starts_over)
+{
+  OneEngine world(1);
+  const auto placed = world.open(flowOf(1));
+  sendTwice(world, flowOf(1), placed.tag);
+  answerProbes(world, ProbeResult::silent);
+  answerProbes(world, ProbeResult::alive);
+  answerProbes(world, ProbeResult::silent);
   answerProbes(world, ProbeResult::silent);
+  cr_assert(world.engine.takeProbes().empty());
+  world.run(500_ms);
+  const auto again = world.engine.takeProbes();
+  cr_assert_eq(again.size(), 1);
+  cr_assert_eq(again[0], placed.target);
+  world.engine.onProbeResult(again[0], ProbeResult::silent, world.now);
+  answerProbes(world, ProbeResult::alive);
   cr_assert(world.engine.board().healthState(placed.target) ==
-            HealthState::suspected);
+              HealthState::suspected,
+            "one silence is not enough after all");
+}
+
+/// The answer of a control that was asked before may have overtaken the one
+/// that is missing.
+Test(health, a_control_that_was_asked_before_the_silence_tells_nothing)
+{
+  OneEngine world(2);
+  const auto first = world.open(flowOf(1));
+  unsigned client = 2;
+  SteeringDecision second = world.open(flowOf(client));
+  while (second.target == first.target) {
+    second = world.open(flowOf(++client));
+  }
+  world.send(later(flowOf(1), first.tag, 1000, 1, 100));
+  world.send(later(flowOf(client), second.tag, 1000, 1, 100));
+  world.run(200_ms);
+  world.send(later(flowOf(1), first.tag, 1000, 1, 100));
+  world.send(later(flowOf(client), second.tag, 1000, 1, 100));
+  cr_assert_eq(world.engine.takeProbes().size(), 2);
+  world.engine.onProbeResult(first.target, ProbeResult::silent, world.now);
   const auto control = world.engine.takeProbes();
   cr_assert_eq(control.size(), 1);
-  cr_assert_neq(control[0], placed.target);
+  world.run(100_ms);
+  world.engine.onProbeResult(second.target, ProbeResult::silent, world.now);
+  cr_assert(world.engine.takeProbes().empty(), "one control at a time");
   world.engine.onProbeResult(control[0], ProbeResult::alive, world.now);
+  const auto next = world.engine.takeProbes();
+  cr_assert_eq(next.size(), 2);
+  cr_assert_neq(next[0], second.target);
+  cr_assert_neq(next[1], second.target);
+}
+
+/// Probes of a link that is full are answered late, not never.
+Test(health, a_late_answer_is_a_sign_of_life)
+{
+  OneEngine world(1);
+  const auto placed = world.open(flowOf(1));
+  sendTwice(world, flowOf(1), placed.tag);
   answerProbes(world, ProbeResult::silent);
+  answerProbes(world, ProbeResult::alive);
+  answerProbes(world, ProbeResult::silent);
+  world.engine.onLateConnection(placed.target, world.now);
+  answerProbes(world, ProbeResult::alive);
+  cr_assert(world.engine.takeRescued().empty());
+  world.engine.onLateResult(placed.target, ProbeResult::alive, world.now);
+  cr_assert(world.engine.board().healthState(placed.target) ==
+            HealthState::trusted);
+  cr_assert(world.engine.takeRescued().empty());
+}
+
+/// Its address may have been given to another one, which takes connections.
+Test(health, a_late_answer_of_another_target_is_no_sign_of_life)
+{
+  OneEngine world(1);
+  const auto placed = world.open(flowOf(1));
+  sendTwice(world, flowOf(1), placed.tag);
+  answerProbes(world, ProbeResult::silent);
+  world.engine.onLateConnection(placed.target, world.now);
+  cr_assert(world.engine.board().healthState(placed.target) ==
+            HealthState::suspected);
+  world.engine.onLateResult(placed.target, ProbeResult::otherTarget, world.now);
   cr_assert(world.engine.board().healthState(placed.target) ==
             HealthState::dead);
 }
 
+/// Two targets that crash together must not vouch against each other for ever.
+Test(health, a_silent_control_makes_room_for_another_one)
+{
+  OneEngine world(1);
+  const TargetChange far = listed(7, 107, "booking", "b");
+  world.engine.onTargetChanges(107, std::span(&far, 1), world.now, world.now);
+  const auto placed = world.open(flowOf(1));
+  const TargetSlot alive = world.engine.board().registry.find("t-7");
+  sendTwice(world, flowOf(1), placed.tag);
+  for (int round = 0; round < 20; ++round) {
+    for (const TargetSlot slot : world.engine.takeProbes()) {
+      world.engine.onProbeResult(slot,
+                                 slot == alive ? ProbeResult::alive
+                                               : ProbeResult::silent,
+                                 world.now);
+    }
+    world.run(100_ms);
+  }
+  cr_assert(world.engine.board().healthState(placed.target) ==
+            HealthState::dead);
+}
+
+/// When all targets of a zone were suspected at once, two silent probes were
+/// proof without any control.
+Test(health, silence_proves_nothing_when_nobody_is_left_to_compare_with)
+{
+  OneEngine world(1);
+  const TargetChange left = gone(100, 101);
+  world.engine.onTargetChanges(101, std::span(&left, 1), world.now, world.now);
+  const auto placed = world.open(flowOf(1));
+  sendTwice(world, flowOf(1), placed.tag);
+  for (int round = 0; round < 10; ++round) {
+    answerProbes(world, ProbeResult::silent);
+    world.run(500_ms);
+  }
+  cr_assert(world.engine.board().healthState(placed.target) ==
+            HealthState::suspected);
+}
+
 /// A choked link of the instance's own made live targets look dead on the
 /// grown site: 419 open flows were reset.
 Test(health, trouble_of_the_own_link_makes_no_target_dead)
