Views that are passed on leave room on a slow link

What callers saw: the packets and probes behind which living targets looked silent; instances that came back from a restart fetched a table of 56 KB in 1.1 s in the median and 2.8 s at most, over links that carry it in 0.22 s.

Cause: congestion collapse by our own repeats. A sender put up to four windows of 19 KB into its link at once, 307 ms at 2 Mbit/s; receivers asked again for parts that were late by 150 ms, four times, and so had windows sent again that still waited in the queue. After 400 ms the sender forgot a transfer and took others. A starting instance let several members send it the whole table. Ten tables that one restarted instance began to send never arrived.

Change: what large updates have under way is bounded by 40 ms of the sender's link (fewer and smaller windows on links below 7 Mbit/s); a part says whether it ends a window, so the size is the sender's choice (instances of the version before go by each sixteenth part, as they did); repeats back off 150, 300, 600 ms; a sender keeps what it serves for 1.5 s; one large update is fetched at a time, from another member once the sender was silent for 450 ms; names of transfers differ between runs of a process.

--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -43,6 +43,8 @@
   , view(view)
   , members(members)
   , messenger(messenger)
+  , limits(transferLimitsFor(board.settings.linkMegabits))
+  , served(this->limits, board.settings.incarnation)
 {
 }
 
@@ -220,8 +222,11 @@
                          const std::string& encoded,
                          const ViewRequest& request)
 {
-  for (ViewPart& part :
-       cutWindow(encoded, request.content, request.transfer, request.offset)) {
+  for (ViewPart& part : cutWindow(encoded,
+                                  request.content,
+                                  request.transfer,
+                                  request.offset,
+                                  this->limits.windowParts)) {
     this->messenger.send(to, std::move(part));
   }
 }
--- a/test/tag/fleet_codec.cpp
+++ b/test/tag/fleet_codec.cpp
@@ -137,6 +137,92 @@
   cr_assert(outgoing.add(large, MilliTime{ 2000 }).has_value());
 }
 
+Test(fleet_codec, large_updates_under_way_fill_a_link_for_a_moment_only)
+{
+  constexpr double kBytesPerMegabitMs = 125;
+  for (const double megabits : { 0.5, 1.0, 2.0, 5.0, 20.0, 1000.0 }) {
+    const TransferLimits limits = transferLimitsFor(megabits);
+    const double bytes =
+      static_cast<double>(limits.windowBytes() * limits.mostLarge);
+    cr_assert_leq(bytes / (megabits * kBytesPerMegabitMs), 50, "%g", megabits);
+    cr_assert_geq(limits.windowParts, 1);
+    cr_assert_geq(limits.mostLarge, 1);
+    cr_assert_leq(limits.windowParts, kViewWindowParts);
+  }
+}
+
+/// What waits at a full link came twice, and filled it more.
+Test(fleet_codec, parts_that_are_late_are_asked_for_less_and_less_often)
+{
+  IncomingTransfers incoming(ViewContent::routes);
+  const std::string encoded(50000, 'x');
+  incoming.add(
+    kSender, cutWindow(encoded, ViewContent::routes, 1, 0)[0], MilliTime{});
+  std::vector<std::int64_t> asked;
+  for (std::int64_t at = 10; at < 5000; at += 10) {
+    if (!incoming.overdue(MilliTime{ at }).empty()) {
+      asked.push_back(at);
+    }
+  }
+  cr_assert(asked.size() >= 3);
+  for (std::size_t i = 2; i < asked.size(); ++i) {
+    cr_assert_geq(asked[i] - asked[i - 1], 2 * (asked[i - 1] - asked[i - 2]));
+  }
+  cr_assert_not(incoming.isFetching(), "given up in the end");
+}
+
+/// A starting instance asks several members at once, and all of them began to
+/// send the whole table.
+Test(fleet_codec, one_large_update_is_fetched_at_a_time)
+{
+  IncomingTransfers incoming(ViewContent::routes);
+  const Endpoint other = *parseEndpoint("127.0.0.1:8");
+  const std::string encoded(50000, 'x');
+  const auto window = cutWindow(encoded, ViewContent::routes, 3, 0);
+  incoming.add(kSender, window[0], MilliTime{ 1 });
+  for (const ViewPart& part : window) {
+    const auto progress = incoming.add(other, part, MilliTime{ 2 });
+    cr_assert_not(progress.next.has_value());
+  }
+  for (const ViewPart& part : window) {
+    const auto progress = incoming.add(kSender, part, MilliTime{ 3 });
+    cr_assert_eq(progress.next.has_value(), part.endsWindow);
+  }
+  const auto small = cutWindow("small", ViewContent::routes, 4, 0);
+  cr_assert(incoming.add(other, small[0], MilliTime{ 4 }).whole == "small");
+}
+
+/// A member that was stopped while it sent its table kept its receiver from
+/// asking anyone else.
+Test(fleet_codec, a_sender_that_fell_silent_keeps_no_other_away)
+{
+  IncomingTransfers incoming(ViewContent::routes);
+  const Endpoint other = *parseEndpoint("127.0.0.1:8");
+  const std::string encoded(50000, 'x');
+  const auto window = cutWindow(encoded, ViewContent::routes, 3, 0);
+  incoming.add(kSender, window[0], MilliTime{});
+  for (std::int64_t at = 10; at <= 460; at += 10) {
+    incoming.overdue(MilliTime{ at });
+  }
+  cr_assert_not(incoming.isFetching(), "another member may be asked");
+  for (const ViewPart& part : window) {
+    const auto progress = incoming.add(other, part, MilliTime{ 470 });
+    cr_assert_eq(progress.next.has_value(), part.endsWindow);
+  }
+}
+
+/// A process that starts anew counts its transfers from the beginning, and a
+/// receiver mixed the parts of two tables.
+Test(fleet_codec, transfers_of_two_runs_have_different_names)
+{
+  OutgoingTransfers before({}, 1700000000000);
+  OutgoingTransfers after({}, 1700000000001);
+  const auto first = before.add("x", MilliTime{ 1 });
+  const auto second = after.add("x", MilliTime{ 1 });
+  cr_assert(first && second && *first != *second);
+  cr_assert_neq(*first, 0);
+}
+
 Test(fleet_codec, signs_and_stamps_survive_the_wire)
 {
   FleetMessage message;
