Open flows on routes that this instance has not heard of yet are not reset

Found by the review of the incident, in the same class: a verdict by absence in a view that lags.

What callers would see: a route is published, a flow is opened on it through one instance, the next packet comes to another whose routes are up to 3 s older, and is answered by a reset, though the route is in force. Views took 1.3 to 3.6 s in the storm of configurations.

Change: a packet with a tag of ours for a destination without a route is held unless this instance saw the route go, or the store has confirmed its routes since it first saw the flow (with 1 s for news on their way). Openings are as before.

--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -182,7 +182,7 @@
   SteeringDecision decision;
   decision.route = this->board.routes.find(packet.flow.destination);
   if (decision.route == nullptr) {
-    return this->refuse(decision, SteeringReason::noRoute, now);
+    return this->decideWithoutRoute(packet, id, now);
   }
   decision.tag = packet.tag;
   if (packet.tag.bits == 0) {
@@ -210,6 +210,27 @@
   return decision;
 }
 
+SteeringDecision
+SteeringController::decideWithoutRoute(const CallerPacket& packet,
+                                       FlowId id,
+                                       MilliTime now)
+{
+  const SteeringDecision decision;
+  const bool isOurs =
+    packet.tag.bits != 0 &&
+    this->board.tags.find(this->board.registry, packet.tag, packet.flow) !=
+      kNoTargetSlot;
+  const bool mayBeNew =
+    isOurs && !this->unknownRoutes.isDropped(
+                this->board, packet.flow.destination, id, now);
+  SteeringDecision refused =
+    this->refuse(decision, SteeringReason::noRoute, now);
+  if (mayBeNew) {
+    refused.outcome = SteeringOutcome::hold;
+  }
+  return refused;
+}
+
 SteeringDecision
 SteeringController::decideForDead(const CallerPacket& packet,
                                   FlowId id,
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -4,6 +4,7 @@
 #include "HealthController.h"
 #include "PlacementPolicy.h"
 #include "TagBoard.h"
+#include "UnknownRoutes.h"
 #include "UnknownTargets.h"
 
 namespace buckthornwing {
@@ -34,6 +35,7 @@
   HealthController& health;
   LeastLoadPlacement byLoad;
   HashPlacement byHash;
+  UnknownRoutes unknownRoutes;
   UnknownTargets unknownTargets;
 
   SteeringDecision choose(const CallerPacket& packet, MilliTime now);
@@ -51,6 +53,9 @@
   SteeringDecision decideLater(const CallerPacket& packet,
                                FlowId id,
                                MilliTime now);
+  SteeringDecision decideWithoutRoute(const CallerPacket& packet,
+                                      FlowId id,
+                                      MilliTime now);
   SteeringDecision finish(const CallerPacket& packet,
                           FlowId id,
                           SteeringDecision decision,
--- a/buckthornwing/src/View/RouteBook.cpp
+++ b/buckthornwing/src/View/RouteBook.cpp
@@ -128,4 +128,15 @@
            : &this->table.routes[found->second];
 }
 
+bool
+RouteBook::sawRemoval(const Endpoint& destination) const
+{
+  return !this->byDestination.contains(destination) &&
+         std::any_of(this->removals.begin(),
+                     this->removals.end(),
+                     [&destination](const Removal& removal) {
+                       return removal.destination == destination;
+                     });
+}
+
 }
--- a/buckthornwing/src/View/RouteBook.h
+++ b/buckthornwing/src/View/RouteBook.h
@@ -47,6 +47,10 @@
   /// \returns the route to a destination, or null.
   const Route* find(const Endpoint& destination) const;
 
+  /// \returns whether a destination had a route here that a later version
+  /// dropped.
+  bool sawRemoval(const Endpoint& destination) const;
+
   std::uint64_t version() const { return this->table.version; }
   bool loaded() const { return this->table.version > 0; }
   const RouteTable& routes() const { return this->table; }
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -367,3 +367,53 @@
     cr_assert_neq(placed.target, far);
   }
 }
+
+namespace {
+
+/// \returns the two routes and one more, to 203.0.113.9:443.
+RouteTable
+threeRoutes(std::uint64_t version)
+{
+  RouteTable table = twoRoutes(version);
+  Route added = table.routes[0];
+  added.name = "added";
+  added.destination = *parseEndpoint("203.0.113.9:443");
+  table.routes.push_back(added);
+  return table;
+}
+
+}
+
+/// An instance whose routes were some seconds behind reset flows that had been
+/// opened on a new route through another instance.
+Test(steering, an_open_flow_on_a_route_not_yet_known_here_is_not_reset)
+{
+  OneEngine ahead(4, {}, "entry-1");
+  OneEngine behind(4, {}, "entry-2");
+  ahead.engine.onRoutes(threeRoutes(2), ahead.now);
+  const FlowKey flow = flowOf(1, "203.0.113.9:443");
+  const auto placed = ahead.open(flow);
+  cr_assert(placed.outcome == SteeringOutcome::forward);
+  const auto packet = later(flow, placed.tag, 1000, 1, 100);
+  cr_assert(behind.send(packet).outcome == SteeringOutcome::hold);
+  behind.run(900_ms);
+  cr_assert(behind.send(packet).outcome == SteeringOutcome::hold);
+  behind.engine.onRoutes(threeRoutes(2), behind.now);
+  cr_assert(behind.send(packet).outcome == SteeringOutcome::forward);
+}
+
+Test(steering, an_open_flow_whose_route_was_dropped_is_reset)
+{
+  OneEngine before(4, {}, "entry-1");
+  OneEngine started(4, {}, "entry-2");
+  before.engine.onRoutes(threeRoutes(2), before.now);
+  const FlowKey flow = flowOf(1, "203.0.113.9:443");
+  const auto placed = before.open(flow);
+  const auto packet = later(flow, placed.tag, 1000, 1, 100);
+  before.engine.onRoutes(twoRoutes(3), before.now);
+  cr_assert(before.send(packet).outcome == SteeringOutcome::reset);
+  // One that started since knows it once its routes are confirmed.
+  cr_assert(started.send(packet).outcome == SteeringOutcome::hold);
+  started.run(1200_ms);
+  cr_assert(started.send(packet).outcome == SteeringOutcome::reset);
+}
