--- /dev/null
+++ b/buckthornwing/src/Timeline/LogLineParser.h
@@ -0,0 +1,35 @@
+#ifndef BUCKTHORNWING_LOG_LINE_PARSER_H
+#define BUCKTHORNWING_LOG_LINE_PARSER_H
+
+#include "LogLine.h"
+
+#include <array>
+#include <boost/json.hpp>
+
+namespace buckthornwing {
+
+/// \brief Parses log lines one after another in the same memory.
+class LogLineParser
+{
+public:
+  LogLineParser() = default;
+  LogLineParser(const LogLineParser&) = delete;
+  LogLineParser& operator=(const LogLineParser&) = delete;
+
+  /// \brief Parses the object that starts at the first brace of \a text.
+  /// \returns the line, whose views are valid until the next call; nothing if
+  /// there is no object with a time, an instance and an event.
+  std::optional<LogLine> parse(std::string_view text);
+
+private:
+  static constexpr std::size_t kMemoryBytes = 32UL * 1024;
+
+  std::array<unsigned char, kMemoryBytes> buffer;
+  boost::json::monotonic_resource memory{ this->buffer.data(), kMemoryBytes };
+  boost::json::value document =
+    boost::json::value(boost::json::storage_ptr(&this->memory));
+};
+
+}
+
+#endif
--- /dev/null
+++ b/buckthornwing/src/Timeline/Tally.h
@@ -0,0 +1,65 @@
+#ifndef BUCKTHORNWING_TALLY_H
+#define BUCKTHORNWING_TALLY_H
+
+#include <algorithm>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornwing {
+
+/// \brief How often something of one name was seen.
+struct NamedCount
+{
+  std::string name;
+  std::uint64_t count = 0;
+};
+
+/// \brief Counts of a few names, sorted by name.
+class Tally
+{
+public:
+  void add(std::string_view name, std::uint64_t count)
+  {
+    const auto at =
+      std::lower_bound(this->entries.begin(),
+                       this->entries.end(),
+                       name,
+                       [](const NamedCount& entry, std::string_view sought) {
+                         return entry.name < sought;
+                       });
+    if (at != this->entries.end() && at->name == name) {
+      at->count += count;
+    } else {
+      this->entries.insert(at, { std::string(name), count });
+    }
+  }
+
+  void add(const Tally& other)
+  {
+    for (const NamedCount& entry : other.entries) {
+      this->add(entry.name, entry.count);
+    }
+  }
+
+  /// \returns the count of \a name, 0 if it was never added.
+  std::uint64_t countOf(std::string_view name) const
+  {
+    for (const NamedCount& entry : this->entries) {
+      if (entry.name == name) {
+        return entry.count;
+      }
+    }
+    return 0;
+  }
+
+  const std::vector<NamedCount>& counts() const { return this->entries; }
+
+private:
+  std::vector<NamedCount> entries;
+};
+
+}
+
+#endif
