--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -8,7 +8,7 @@
 namespace buckthornwing::bwctl {
 namespace {
 
-/// \returns how many positional arguments a command takes.
+/// \returns how many positional arguments a command takes, at the least.
 std::size_t
 positionalCount(const std::string& command)
 {
@@ -54,7 +54,9 @@
                        flow.getValue(),    log.getValue(),
                        count.getValue(),   json.getValue() };
   const std::size_t expected = positionalCount(arguments.command);
-  if (arguments.positional.size() != expected) {
+  const std::size_t given = arguments.positional.size();
+  const bool takesMore = arguments.command == "timeline" && given > expected;
+  if (given != expected && !takesMore) {
     return boost::leaf::new_error(Error{ "read command line",
                                          arguments.command,
                                          "expected " +
--- a/bwctl/Commands.h
+++ b/bwctl/Commands.h
@@ -51,6 +51,9 @@
 
 boost::leaf::result<int>
 trace(const Arguments& arguments);
+
+boost::leaf::result<int>
+timeline(const Arguments& arguments);
 /// @}
 
 }
--- /dev/null
+++ b/bwctl/TimelineCommand.cpp
@@ -0,0 +1,127 @@
+#include "Commands.h"
+
+#include <Timeline>
+#include <src/Io/Error.h>
+
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+#include <fstream>
+#include <iostream>
+#include <limits>
+
+namespace buckthornwing::bwctl {
+namespace {
+
+/// \brief A longer line is counted as malformed.
+constexpr std::size_t kMostLineBytes = 64UL * 1024;
+/// \brief What is read from a file at once.
+constexpr std::size_t kReadBytes = 256UL * 1024;
+
+/// \brief Adds every line of a file, holding one at a time.
+boost::leaf::result<void>
+addFile(const std::string& file, Timeline& timeline)
+{
+  std::vector<char> readBuffer(kReadBytes);
+  std::ifstream log;
+  log.rdbuf()->pubsetbuf(readBuffer.data(), kReadBytes);
+  log.open(file);
+  if (!log) {
+    return boost::leaf::new_error(
+      Error{ "read log", file, "no readable file" });
+  }
+  std::vector<char> line(kMostLineBytes);
+  while (log.peek() != std::ifstream::traits_type::eof()) {
+    log.getline(line.data(), kMostLineBytes);
+    if (log.bad()) {
+      break;
+    }
+    if (log.fail()) {
+      log.clear();
+      log.ignore(std::numeric_limits<std::streamsize>::max(), '\n');
+      timeline.addMalformed();
+      continue;
+    }
+    timeline.addLine(line.data());
+  }
+  if (log.bad()) {
+    return boost::leaf::new_error(
+      Error{ "read log", file, "reading stopped before its end" });
+  }
+  return {};
+}
+
+void
+printForPeople(const TimelineReport& report, std::span<const Spell> spells)
+{
+  if (!report.rows.empty()) {
+    std::cout << "from " << formatDate(report.rows.front().second) << ' '
+              << formatClock(report.rows.front().second) << " UTC\n"
+              << formatTableHead() << '\n';
+  }
+  for (const TimelineRow& row : report.rows) {
+    std::cout << formatRow(row) << '\n';
+  }
+  std::cout << "\nwhat stands out:\n";
+  for (const Spell& spell : spells) {
+    std::cout << "  " << spell.sentence << '\n';
+  }
+  std::cout << "\ntargets found dead:\n";
+  for (const DeathVerdict& verdict : report.verdicts) {
+    std::cout << "  " << formatVerdict(report, verdict) << '\n';
+  }
+  std::cout << '\n'
+            << formatCount(report.lines, "line") << ", "
+            << formatCount(report.malformed, "malformed line") << '\n';
+}
+
+/// \brief Prints an array as a field of an object, element by element, so that
+/// a long one needs no memory.
+template<typename Element, typename ToJson>
+void
+printArray(const char* name, std::span<const Element> elements, ToJson toObject)
+{
+  std::cout << ",\"" << name << "\":[";
+  const char* separator = "\n";
+  for (const Element& element : elements) {
+    std::cout << separator << boost::json::serialize(toObject(element));
+    separator = ",\n";
+  }
+  std::cout << ']';
+}
+
+void
+printForPrograms(const TimelineReport& report, std::span<const Spell> spells)
+{
+  std::cout << "{\"lines\":" << report.lines
+            << ",\"malformed\":" << report.malformed;
+  printArray<TimelineRow>(
+    "seconds", report.rows, [](const TimelineRow& row) { return toJson(row); });
+  printArray<Spell>(
+    "spells", spells, [](const Spell& spell) { return toJson(spell); });
+  printArray<DeathVerdict>(
+    "deaths", report.verdicts, [&](const DeathVerdict& verdict) {
+      return toJson(report, verdict);
+    });
+  std::cout << "}\n";
+}
+
+}
+
+boost::leaf::result<int>
+timeline(const Arguments& arguments)
+{
+  Timeline timeline;
+  for (const std::string& file : arguments.positional) {
+    BOOST_LEAF_CHECK(addFile(file, timeline));
+  }
+  const TimelineReport report = timeline.finish();
+  const std::vector<Spell> spells = findSpells(report);
+  if (arguments.json) {
+    printForPrograms(report, spells);
+  } else {
+    printForPeople(report, spells);
+  }
+  return report.lines != 0 ? kGood : kAnswerIsNo;
+}
+
+}
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -28,6 +28,9 @@
   bwctl trace --log FILE REQUEST-ID
       traces a request through the log of one or more instances: each
       decision on its flow, and what was believed of its targets meanwhile
+  bwctl timeline LOG...
+      counts what all instances logged by second and availability zone, names
+      what stands out, and lists the targets found dead and who contradicts it
 
 Each command takes --json for output that programs read.
 Exit status: 0 good, 1 the answer is no, 2 wrong usage or input.
@@ -61,6 +64,9 @@
   if (name == "trace") {
     return trace(arguments);
   }
+  if (name == "timeline") {
+    return timeline(arguments);
+  }
   return boost::leaf::new_error(
     Error{ "read command line", name, "unknown command; see bwctl --help" });
 }
