--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -34,6 +34,8 @@
     "", "flow", "\"protocol source destination\"", false, "", "FLOW", line);
   TCLAP::ValueArg<std::string> log(
     "", "log", "lines of one or more instances", false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> svg(
+    "", "svg", "of timeline: the picture to write", false, "", "FILE", line);
   TCLAP::ValueArg<unsigned> count(
     "", "count", "of watch: times to show", false, 0, "N", line);
   TCLAP::SwitchArg json("", "json", "print JSON", line, false);
@@ -52,7 +54,8 @@
   Arguments arguments{ command.getValue(), positional.getValue(),
                        config.getValue(),  service.getValue(),
                        flow.getValue(),    log.getValue(),
-                       count.getValue(),   json.getValue() };
+                       svg.getValue(),     count.getValue(),
+                       json.getValue() };
   const std::size_t expected = positionalCount(arguments.command);
   const std::size_t given = arguments.positional.size();
   const bool takesMore = arguments.command == "timeline" && given > expected;
--- a/bwctl/Commands.h
+++ b/bwctl/Commands.h
@@ -23,6 +23,7 @@
   std::string service;
   std::string flow;
   std::string log;
+  std::string svg;
   unsigned count = 0; ///< of watch; 0 means without end
   bool json = false;
 };
--- a/bwctl/TimelineCommand.cpp
+++ b/bwctl/TimelineCommand.cpp
@@ -105,6 +105,18 @@
   std::cout << "}\n";
 }
 
+boost::leaf::result<void>
+writePicture(const std::string& file, const TimelineReport& report)
+{
+  std::ofstream picture(file);
+  picture << drawTimeline(report) << std::flush;
+  if (!picture) {
+    return boost::leaf::new_error(
+      Error{ "write picture", file, "the file can't be written" });
+  }
+  return {};
+}
+
 }
 
 boost::leaf::result<int>
@@ -115,6 +127,9 @@
     BOOST_LEAF_CHECK(addFile(file, timeline));
   }
   const TimelineReport report = timeline.finish();
+  if (!arguments.svg.empty()) {
+    BOOST_LEAF_CHECK(writePicture(arguments.svg, report));
+  }
   const std::vector<Spell> spells = findSpells(report);
   if (arguments.json) {
     printForPrograms(report, spells);
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -28,9 +28,10 @@
   bwctl trace --log FILE REQUEST-ID
       traces a request through the log of one or more instances: each
       decision on its flow, and what was believed of its targets meanwhile
-  bwctl timeline LOG...
+  bwctl timeline [--svg FILE] LOG...
       counts what all instances logged by second and availability zone, names
-      what stands out, and lists the targets found dead and who contradicts it
+      what stands out, and lists the targets found dead and who contradicts it;
+      --svg draws the counts as well
 
 Each command takes --json for output that programs read.
 Exit status: 0 good, 1 the answer is no, 2 wrong usage or input.
--- a/test/timeline.cpp
+++ b/test/timeline.cpp
@@ -453,6 +453,45 @@
   cr_assert_eq(toJson(spells.at(0)).at("zone").as_string(), "a");
 }
 
+Test(timeline, draws_each_zone)
+{
+  const TimelineReport report = reportOf({
+    startOf("a-1", "a"),
+    startOf("b-1", "<b>"),
+    lineOf(1, "a-1", "store_lost"),
+    lineOf(1001, "b-1", "store_lost"),
+    lineOf(1002, "b-1", "store_lost"),
+  });
+  const std::string picture = drawTimeline(report);
+  cr_assert(picture.starts_with("<svg "));
+  cr_assert(picture.ends_with("</svg>\n"));
+  cr_assert(picture.find("zone a</text>") != std::string::npos);
+  cr_assert(picture.find("zone &lt;b&gt;</text>") != std::string::npos);
+  cr_assert(picture.find("<title>12:00:37 store lost 1<") != std::string::npos);
+  cr_assert(picture.find("<title>12:00:38 store lost 2<") != std::string::npos);
+}
+
+Test(timeline, draws_a_long_log_in_few_columns)
+{
+  Timeline timeline;
+  for (std::int64_t second = 0; second < 86400; second += 60) {
+    timeline.addLine(lineOf(second * 1000, "a-1", "store_lost"));
+  }
+  const std::string picture = drawTimeline(timeline.finish());
+  std::size_t columns = 0;
+  for (std::size_t at = picture.find("<title>"); at != std::string::npos;
+       at = picture.find("<title>", at + 1)) {
+    ++columns;
+  }
+  cr_assert_gt(columns, 300U);
+  cr_assert_leq(columns, 600U);
+}
+
+Test(timeline, draws_nothing_of_nothing)
+{
+  cr_assert(drawTimeline(Timeline().finish()).starts_with("<svg "));
+}
+
 Test(timeline, is_empty_after_finish)
 {
   Timeline timeline;
