A timeline of nothing but findings about targets keeps its memory bound

Cause: 1 GB of target_suspected and target_trusted lines alone (4,300,000) took 268,860 KB: the list of sightings was copied as it grew. Change: it is a deque, and the suspicions are counted before they are stored.

--- a/buckthornwing/src/Timeline/DeathVerdict.cpp
+++ b/buckthornwing/src/Timeline/DeathVerdict.cpp
@@ -54,7 +54,7 @@
 /// \param sightings of all targets
 /// \param at the index of the verdict's own sighting
 DeathVerdict
-judge(std::span<const TargetSighting> sightings, std::size_t at)
+judge(const SightingList& sightings, std::size_t at)
 {
   const TargetSighting& own = sightings[at];
   DeathVerdict verdict{
@@ -79,7 +79,7 @@
 }
 
 std::vector<DeathVerdict>
-findDeathVerdicts(std::span<const TargetSighting> sightings)
+findDeathVerdicts(const SightingList& sightings)
 {
   std::vector<DeathVerdict> verdicts;
   for (std::size_t i = 0; i < sightings.size(); ++i) {
--- a/buckthornwing/src/Timeline/DeathVerdict.h
+++ b/buckthornwing/src/Timeline/DeathVerdict.h
@@ -4,7 +4,6 @@
 #include "TargetSighting.h"
 
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace buckthornwing {
@@ -31,7 +30,7 @@
 /// \param sightings sorted by target, then time
 /// \returns the verdicts by time.
 std::vector<DeathVerdict>
-findDeathVerdicts(std::span<const TargetSighting> sightings);
+findDeathVerdicts(const SightingList& sightings);
 
 }
 
--- a/buckthornwing/src/Timeline/SpellRule.h
+++ b/buckthornwing/src/Timeline/SpellRule.h
@@ -3,6 +3,8 @@
 
 #include "Spell.h"
 
+#include <span>
+
 namespace buckthornwing {
 
 /// \brief Decides which seconds of a zone stand out, in one respect.
--- a/buckthornwing/src/Timeline/Suspicion.cpp
+++ b/buckthornwing/src/Timeline/Suspicion.cpp
@@ -1,13 +1,18 @@
 #include "Suspicion.h"
 
+#include <algorithm>
 #include <map>
 
 namespace buckthornwing {
 
 std::vector<Suspicion>
-findSuspicions(std::span<const TargetSighting> sightings)
+findSuspicions(const SightingList& sightings)
 {
   std::vector<Suspicion> suspicions;
+  suspicions.reserve(static_cast<std::size_t>(
+    std::count_if(sightings.begin(), sightings.end(), [](const auto& sighting) {
+      return sighting.kind == SightingKind::suspected;
+    })));
   std::map<NameIndex, std::size_t> openByInstance; // of the present target
   for (std::size_t i = 0; i < sightings.size(); ++i) {
     const TargetSighting& sighting = sightings[i];
--- a/buckthornwing/src/Timeline/Suspicion.h
+++ b/buckthornwing/src/Timeline/Suspicion.h
@@ -4,7 +4,6 @@
 #include "TargetSighting.h"
 
 #include <optional>
-#include <span>
 #include <vector>
 
 namespace buckthornwing {
@@ -21,7 +20,7 @@
 /// \param sightings sorted by target, then time
 /// \returns the suspicions by target, then time.
 std::vector<Suspicion>
-findSuspicions(std::span<const TargetSighting> sightings);
+findSuspicions(const SightingList& sightings);
 
 }
 
--- a/buckthornwing/src/Timeline/TargetSighting.h
+++ b/buckthornwing/src/Timeline/TargetSighting.h
@@ -4,6 +4,8 @@
 #include "../Core/MilliTime.h"
 #include "NameTable.h"
 
+#include <deque>
+
 namespace buckthornwing {
 
 /// \brief What an instance may find out about a target.
@@ -26,6 +28,9 @@
   SightingKind kind = SightingKind::suspected;
 };
 
+/// \brief Many sightings; it grows without a second copy of them in memory.
+using SightingList = std::deque<TargetSighting>;
+
 }
 
 #endif
--- a/buckthornwing/src/Timeline/Timeline.h
+++ b/buckthornwing/src/Timeline/Timeline.h
@@ -55,7 +55,7 @@
   std::vector<std::string> groupZones; ///< by group
   std::unordered_map<std::string, GroupIndex> zoneGroups;
   std::map<CellKey, SecondCounts> cells;
-  std::vector<TargetSighting> sightings;
+  SightingList sightings;
 
   KnownInstance& instanceFor(std::string_view name);
   void onStart(const LogLine& line, KnownInstance& instance);
--- a/buckthornwing/src/Timeline/TimelinePicture.cpp
+++ b/buckthornwing/src/Timeline/TimelinePicture.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <span>
 #include <sstream>
 
 namespace buckthornwing {
--- a/bwctl/TimelineCommand.cpp
+++ b/bwctl/TimelineCommand.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <iostream>
 #include <limits>
+#include <span>
 
 namespace buckthornwing::bwctl {
 namespace {
