--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -8,7 +8,7 @@
 namespace buckthornwing::bwctl {
 namespace {
 
-/// \returns how many positional arguments a command takes.
+/// \returns how many positional arguments a command takes, at the least.
 std::size_t
 positionalCount(const std::string& command)
 {
@@ -34,6 +34,8 @@
     "", "flow", "\"protocol source destination\"", false, "", "FLOW", line);
   TCLAP::ValueArg<std::string> log(
     "", "log", "lines of one or more instances", false, "", "FILE", line);
+  TCLAP::ValueArg<std::string> svg(
+    "", "svg", "of timeline: the picture to write", false, "", "FILE", line);
   TCLAP::ValueArg<unsigned> count(
     "", "count", "of watch: times to show", false, 0, "N", line);
   TCLAP::SwitchArg json("", "json", "print JSON", line, false);
@@ -52,9 +54,12 @@
   Arguments arguments{ command.getValue(), positional.getValue(),
                        config.getValue(),  service.getValue(),
                        flow.getValue(),    log.getValue(),
-                       count.getValue(),   json.getValue() };
+                       svg.getValue(),     count.getValue(),
+                       json.getValue() };
   const std::size_t expected = positionalCount(arguments.command);
-  if (arguments.positional.size() != expected) {
+  const std::size_t given = arguments.positional.size();
+  const bool takesMore = arguments.command == "timeline" && given > expected;
+  if (given != expected && !takesMore) {
     return boost::leaf::new_error(Error{ "read command line",
                                          arguments.command,
                                          "expected " +
