--- a/buckthornwing/src/Timeline/Timeline.cpp
+++ b/buckthornwing/src/Timeline/Timeline.cpp
@@ -16,6 +16,7 @@
 constexpr MilliDuration kStall{ 250 };
 constexpr std::string_view kZonePrefix = "zone ";
 constexpr std::string_view kControlPrefix = "control: ";
+constexpr std::string_view kLatePrefix = "late: ";
 constexpr std::string_view kAlive = "alive";
 
 std::string_view
@@ -24,6 +25,14 @@
   return text.starts_with(prefix) ? text.substr(prefix.size()) : text;
 }
 
+/// \returns whether a probe with this result was answered by its target.
+bool
+isSignOfLife(std::string_view note)
+{
+  return withoutPrefix(withoutPrefix(note, kControlPrefix), kLatePrefix) ==
+         kAlive;
+}
+
 /// \brief How many members joined and were lost at once.
 struct MemberChange
 {
@@ -157,8 +166,7 @@
       break;
     case LineKind::targetProbed:
       counts.probes.add(line.note, 1);
-      if (internal::withoutPrefix(line.note, internal::kControlPrefix) ==
-          internal::kAlive) {
+      if (internal::isSignOfLife(line.note)) {
         this->see(SightingKind::probedAlive, line, instance);
       }
       break;
--- a/test/timeline.cpp
+++ b/test/timeline.cpp
@@ -253,7 +253,7 @@
   const TimelineReport report = reportOf({
     beliefOf(0, "b-1", "target_trusted", "it answers"),
     beliefOf(1400, "a-1", "target_dead", "probes failed"),
-    beliefOf(1435, "b-2", "target_probed", "control: alive"),
+    beliefOf(1435, "b-2", "target_probed", "late: alive"),
     beliefOf(1600, "b-3", "target_trusted", "it answers"),
   });
   cr_assert_eq(report.verdicts.size(), 1U);
