A probe always has a result, also if its target moved meanwhile

Found in the read-through: a result for a slot whose target had another address by then was dropped, so the target counted as being probed for ever, and if it was the control nobody was found dead by silence again at this instance. Such a result counts as silent now, which alone proves nothing.

--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -6,16 +6,15 @@
 #include "HeldPackets.h"
 #include "HttpServer.h"
 #include "JsonLog.h"
+#include "ProbeRunner.h"
 #include "TagLog.h"
 #include "TagReport.h"
 #include "TagServerSettings.h"
-#include "TargetProbe.h"
 #include "TrafficMeter.h"
 #include "UdpSocket.h"
 #include "WallClock.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <concepts>
 #include <functional>
@@ -91,6 +90,7 @@
     , engine(settings.tag)
     , traffic(settings.tag.linkMegabits)
     , source(context, settings, engine, [this] { this->afterInput(); })
+    , probes(context, engine, source, [this] { this->afterInput(); })
     , tickTimer(context)
   {
   }
@@ -163,14 +163,6 @@
   /// No packet for so long means that the fabric uses other instances.
   static constexpr MilliDuration kQuiet{ 500 };
 
-  /// \brief A target as it was when its probe began.
-  struct ProbedTarget
-  {
-    TargetSlot slot = kNoTargetSlot;
-    std::string id;
-    Endpoint address;
-  };
-
   boost::asio::io_context& context;
   TagServerSettings settings;
   UdpSocket packets;
@@ -183,6 +175,7 @@
   TagEngine engine;
   TrafficMeter traffic;
   Source source;
+  ProbeRunner<Source> probes;
   boost::asio::steady_timer tickTimer;
   HeldPackets held;
   ViewStamp heldAtStamp; ///< the view by which they were decided last
@@ -213,7 +206,7 @@
     }
     this->carryOut(decision, packet, datagram);
     this->logDecision(packet, decision, {}, now);
-    this->startProbes();
+    this->probes.start();
     this->listIfWanted(now);
   }
 
@@ -326,51 +319,6 @@
     }
   }
 
-  void startProbes()
-  {
-    for (const TargetSlot slot : this->engine.takeProbes()) {
-      const TargetRecord& target =
-        this->engine.board().registry.at(slot).record;
-      const ProbedTarget probed{ slot, target.id, target.address };
-      ProbeHooks hooks;
-      hooks.result = [this, probed](ProbeResult result) {
-        this->afterQueuedInput(probed, [this, probed, result](MilliTime now) {
-          this->engine.onProbeResult(probed.slot, result, now);
-        });
-      };
-      hooks.lateConnection = [this, probed] {
-        this->afterQueuedInput(probed, [this, probed](MilliTime now) {
-          this->engine.onLateConnection(probed.slot, now);
-        });
-      };
-      hooks.lateResult = [this, probed](ProbeResult result) {
-        this->afterQueuedInput(probed, [this, probed, result](MilliTime now) {
-          this->engine.onLateResult(probed.slot, result, now);
-        });
-      };
-      this->source.probe(
-        target, this->engine.healthPathOf(slot), std::move(hooks));
-    }
-  }
-
-  /// \brief Tells the engine what a probe found, once all input that came
-  /// before was handled: answers must count in the order in which they came.
-  void afterQueuedInput(const ProbedTarget& probed,
-                        std::function<void(MilliTime now)> tell)
-  {
-    boost::asio::post(this->context, [this, probed, tell = std::move(tell)] {
-      const TargetRecord& target =
-        this->engine.board().registry.at(probed.slot).record;
-      // Meanwhile the slot may hold another target, or one that moved.
-      const bool isSame =
-        target.id == probed.id && target.address == probed.address;
-      if (!this->stopped && isSame) {
-        tell(bootTime());
-        this->afterInput();
-      }
-    });
-  }
-
   void resetRescued(MilliTime now)
   {
     for (const RescuedFlow& rescued : this->engine.takeRescued()) {
@@ -393,7 +341,7 @@
     const MilliTime now = bootTime();
     this->flushPeers();
     this->resetRescued(now);
-    this->startProbes();
+    this->probes.start();
     for (const TagEvent& event : this->engine.takeEvents()) {
       this->log.change(this->engine.board(), event, now);
     }
@@ -456,6 +404,7 @@
     this->log.note("stop", "no packets are under way");
     this->stopped = true;
     this->source.stop();
+    this->probes.stop();
     this->packets.close();
     this->peers.close();
     this->ready.close();
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -182,7 +182,7 @@
   SteeringDecision decision;
   decision.route = this->board.routes.find(packet.flow.destination);
   if (decision.route == nullptr) {
-    return this->decideWithoutRoute(packet, id, now);
+    return this->decideForUnknownRoute(packet, id, now);
   }
   decision.tag = packet.tag;
   if (packet.tag.bits == 0) {
@@ -211,11 +211,11 @@
 }
 
 SteeringDecision
-SteeringController::decideWithoutRoute(const CallerPacket& packet,
-                                       FlowId id,
-                                       MilliTime now)
+SteeringController::decideForUnknownRoute(const CallerPacket& packet,
+                                          FlowId id,
+                                          MilliTime now)
 {
-  const SteeringDecision decision;
+  SteeringDecision decision = this->refuse({}, SteeringReason::noRoute, now);
   const bool isOurs =
     packet.tag.bits != 0 &&
     this->board.tags.find(this->board.registry, packet.tag, packet.flow) !=
@@ -223,12 +223,10 @@
   const bool mayBeNew =
     isOurs && !this->unknownRoutes.isDropped(
                 this->board, packet.flow.destination, id, now);
-  SteeringDecision refused =
-    this->refuse(decision, SteeringReason::noRoute, now);
   if (mayBeNew) {
-    refused.outcome = SteeringOutcome::hold;
+    decision.outcome = SteeringOutcome::hold;
   }
-  return refused;
+  return decision;
 }
 
 SteeringDecision
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -53,9 +53,9 @@
   SteeringDecision decideLater(const CallerPacket& packet,
                                FlowId id,
                                MilliTime now);
-  SteeringDecision decideWithoutRoute(const CallerPacket& packet,
-                                      FlowId id,
-                                      MilliTime now);
+  SteeringDecision decideForUnknownRoute(const CallerPacket& packet,
+                                         FlowId id,
+                                         MilliTime now);
   SteeringDecision finish(const CallerPacket& packet,
                           FlowId id,
                           SteeringDecision decision,
