--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -3,7 +3,6 @@
 #include "../Core/Hash.h"
 #include "../Peer/CompactCodec.h"
 #include "../Peer/WireMember.h"
-#include "ViewTransfer.h"
 #include "ViewWire.h"
 #include "generated/fleet_types.h"
 
@@ -154,7 +153,6 @@
     part.total = static_cast<std::int32_t>(body.total);
     part.bytes = body.bytes;
     part.content = static_cast<std::int8_t>(body.content);
-    part.__set_endsWindow(body.endsWindow);
     this->out.__set_viewPart(part);
   }
 
@@ -230,10 +228,6 @@
   part.offset = static_cast<std::uint32_t>(in.viewPart.offset);
   part.total = static_cast<std::uint32_t>(in.viewPart.total);
   part.bytes = in.viewPart.bytes;
-  const std::size_t end = std::size_t{ part.offset } + part.bytes.size();
-  part.endsWindow = in.viewPart.__isset.endsWindow
-                      ? in.viewPart.endsWindow
-                      : end % kViewWindowBytes == 0;
   return readContent(in.viewPart.content, part.content);
 }
 
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -111,7 +111,6 @@
   std::uint32_t offset = 0;
   std::uint32_t total = 0;
   std::string bytes;
-  bool endsWindow = false; ///< the receiver asks for the next ones
 };
 
 /// \brief The targets or the routes that a receiver with the base lacks.
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -43,8 +43,6 @@
   , view(view)
   , members(members)
   , messenger(messenger)
-  , limits(transferLimitsFor(board.settings.linkMegabits))
-  , served(this->limits, board.settings.incarnation)
 {
 }
 
@@ -222,11 +220,8 @@
                          const std::string& encoded,
                          const ViewRequest& request)
 {
-  for (ViewPart& part : cutWindow(encoded,
-                                  request.content,
-                                  request.transfer,
-                                  request.offset,
-                                  this->limits.windowParts)) {
+  for (ViewPart& part :
+       cutWindow(encoded, request.content, request.transfer, request.offset)) {
     this->messenger.send(to, std::move(part));
   }
 }
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -72,7 +72,6 @@
   ViewController& view;
   FleetMembers& members;
   FleetMessenger& messenger;
-  TransferLimits limits;
   OutgoingTransfers served;
   IncomingTransfers fetchedTargets{ ViewContent::targets };
   IncomingTransfers fetchedRoutes{ ViewContent::routes };
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -127,8 +127,6 @@
   3: i32 total
   4: binary bytes
   5: i8 content
-  // Without it each sixteenth part ends a window.
-  6: optional bool endsWindow
 }
 
 // Asks for members in full whose signs the sender heard: four bytes for each key.
