review: open flows of a living target are reset after a planned stop

Cause: a machine whose first listing was torn lacks a target; after a failed call to the store it takes a confirmation of its incomplete view as proof that the target has left.

--- a/review/standin/Callers.hh
+++ b/review/standin/Callers.hh
@@ -33,6 +33,9 @@
   std::int64_t periodMs = 0; ///< between requests of one zone
   std::int64_t firstAt = 0;
   std::int64_t lastAt = 0;
+  /// Flows of each zone that are kept open for requests, one each period; 0: a
+  /// flow for each request.
+  int longFlows = 0;
 };
 
 /// \brief How an attempt ended.
@@ -51,6 +54,9 @@
   std::uint16_t routePort = 0;
   std::int64_t sentAt = 0;
   AttemptEnd end = AttemptEnd::lost;
+  std::string targetId; ///< that answered on the flow before; empty: none
+  bool isResetBySystem = false; ///< the reset has no sum
+  std::int64_t endedAt = 0;
 };
 
 /// \brief Stand-in for the callers of all zones and the platform's routers.
@@ -95,7 +101,11 @@
     std::uint32_t expected = 0; ///< next byte of the target
     bool isOpen = false;
     bool isDone = false;
+    bool isResetBySystem = false;
     std::string answer;
+    std::string targetId;
+    std::uint32_t answers = 0;  ///< complete ones
+    std::uint32_t nextByte = 0; ///< sequence number of the next request
   };
 
   EventLoop& loop;
@@ -116,6 +126,9 @@
             std::uint32_t acknowledged,
             const std::string& data);
   void request(std::size_t zone, const RequestKind& kind);
+  void keepLongFlow(std::size_t zone, const RequestKind& kind);
+  void onAnswer(const std::shared_ptr<Flow>& flow);
+  void sendNext(const std::shared_ptr<Flow>& flow);
   void open(std::size_t zone,
             const RequestKind& kind,
             const std::string& id,
--- a/review/standin/Store.cc
+++ b/review/standin/Store.cc
@@ -122,6 +122,16 @@
                     std::to_string(this->era));
 }
 
+void
+Store::cutWatches()
+{
+  this->record.line("store: cuts " + std::to_string(this->watches.size()) +
+                    " waiting watches");
+  this->watches.clear();
+  this->server.shutDown();
+  this->server.open();
+}
+
 std::string
 Store::headers() const
 {
--- a/review/standin/Store.hh
+++ b/review/standin/Store.hh
@@ -50,6 +50,8 @@
   void goAway();
   /// \brief Serves again, from a copy.
   void comeBack(const Copy& from);
+  /// \brief Cuts all waiting watches.
+  void cutWatches();
   bool isAway() const { return this->away; }
   std::uint64_t revision() const { return this->state.revision; }
 
--- a/review/standin/Target.hh
+++ b/review/standin/Target.hh
@@ -77,6 +77,7 @@
     std::uint32_t echo = 0;
     std::uint32_t ownSequence = 0; ///< of the SYN+ACK
     std::uint32_t expected = 0;    ///< next byte of the caller
+    std::uint32_t answered = 0;    ///< acknowledged bytes of answers
     bool isOpen = false;
     bool isWorking = false;
     bool hasEnded = false; ///< it was closed by both sides
--- a/review/standin/World.cc
+++ b/review/standin/World.cc
@@ -144,7 +144,11 @@
     this->callers->addZone(names[zone - 1],
                            parseIp("127.100." + std::to_string(zone) + ".1"));
   }
-  this->fleet->startAll(this->storeAddress);
+  for (std::size_t i = 0; i < this->fleet->all().size(); ++i) {
+    this->loop.after(i == 0 ? 0 : this->startSpreadMs, [this, i] {
+      this->fleet->start(this->fleet->all()[i], this->storeAddress);
+    });
+  }
   this->callers->startChecks();
   this->waitForMachines(scenario);
   this->loop.run();
--- a/review/standin/World.hh
+++ b/review/standin/World.hh
@@ -83,6 +83,9 @@
                             const std::vector<RouteEntry>& routes,
                             std::int64_t timeoutMs) const;
 
+  /// Time between the first machine's start and that of the others.
+  std::int64_t startSpreadMs = 0;
+
   /// \brief Runs until all machines are ready, then calls the scenario with the
   /// time at which traffic starts.
   /// \returns the scenario's verdict, or 2 if the machines don't start
@@ -109,6 +112,8 @@
 runPageCase(World& world, bool trouble);
 int
 runOneWayCase(World& world, bool trouble);
+int
+runResetCase(World& world, bool trouble);
 
 }
 
--- a/review/standin/cases.cc
+++ b/review/standin/cases.cc
@@ -413,6 +413,73 @@
   });
 }
 
+int
+runResetCase(World& world, bool trouble)
+{
+  world.addMachine("a", 1, 1);
+  world.addMachine("b", 2, 1);
+  world.addMachine("c", 3, 1);
+  world.addMachine("a", 1, 2);
+  world.startSpreadMs = 250;
+  const char* const zones[] = { "a", "b", "c" };
+  const int count = kCertsTargets + kDispatchTargets;
+  for (int i = 0; i < count; ++i) {
+    const bool isCerts = i < kCertsTargets;
+    const int zone = i % 3;
+    Target& target = world.addTarget(isCerts ? "certs" : "dispatch",
+                                     zones[zone],
+                                     zone + 1,
+                                     idDigits(isCerts ? "1a0ffe" : "5c0ffe", i),
+                                     0);
+    if (i != 0 && i != count - 1) {
+      target.start();
+    }
+  }
+  // The first and the last target register while the first machine lists: one
+  // after it has got the first page, on which it belongs, the other one before
+  // it gets the second page.
+  auto registered = std::make_shared<bool>(false);
+  world.store->afterPage = [&world, registered](const std::string& prefix,
+                                                bool hasMore) {
+    if (hasMore && prefix == "servers/" && !*registered) {
+      *registered = true;
+      world.loop.after(1, [&world] {
+        world.targets.front()->start();
+        world.targets.back()->start();
+      });
+    }
+  };
+  world.store->put("op/config",
+                   world.configuration(3, kFirstRoutes, kTimeoutMs));
+  return world.play([&world, trouble](std::int64_t start) {
+    RequestKind feed =
+      world.requestKind("feed", kCertsPort, 300, start, start + 16000);
+    feed.longFlows = 16;
+    feed.isIdempotent = true;
+    world.callers->startRequests(feed);
+    if (trouble) {
+      schedule(world, start, 7.9, [&world] { world.store->cutWatches(); });
+      schedule(
+        world, start, 8.0, [&world] { world.fleet->stopProcess("front-a-2"); });
+    }
+    schedule(world, start, 20.0, [&world] {
+      const std::string& id = world.targets.front()->about().id;
+      int broken = 0;
+      for (const Attempt& attempt : world.attempts) {
+        broken += attempt.end == AttemptEnd::reset && attempt.isResetBySystem &&
+                      !attempt.targetId.empty()
+                    ? 1
+                    : 0;
+      }
+      world.record.line("FLOW: " + std::to_string(broken) +
+                        " open flows of living targets were reset by the "
+                        "system, all targets serve, among them " +
+                        id);
+      world.end(broken > 0 ? 1 : 0);
+    });
+  });
+}
+
 }
 
 int
@@ -445,6 +512,8 @@
       verdict = review::runPageCase(world, trouble);
     } else if (name == "one-way-cut") {
       verdict = review::runOneWayCase(world, trouble);
+    } else if (name == "reset-after-stop") {
+      verdict = review::runResetCase(world, trouble);
     }
     world.record.line("exit " + std::to_string(verdict));
     return verdict;
