--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,4 +1,4 @@
 #!/usr/bin/env bash
-# Runs the case drain-after-restore; see claim.txt and ../run-case. TROUBLE=0 leaves out the
+# Runs the case config-after-restore; see claim.txt and ../run-case. TROUBLE=0 leaves out the
 # disruption.
-exec "$(dirname "$0")/../run-case" drain-after-restore "$(dirname "$0")"
+exec "$(dirname "$0")/../run-case" config-after-restore "$(dirname "$0")"
