The store's era is logged and counted

The logs of such a run couldn't tell a store that came back from a copy from one that was merely away, so hypothesis 1 couldn't be told from 3 and 4. Change: the header Store-Era of each answer is read (names of headers are compared without regard to case); a change of it is the event store_era with a counter, and log lines and /status hold the era. Nothing is decided by it yet.

--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -5,18 +5,22 @@
 #include "../Core/MilliTime.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/beast/core/string.hpp>
 #include <functional>
 #include <map>
 #include <string>
 
 namespace buckthornwing {
 
+/// \brief Headers of a response. Names are compared without regard to case.
+using HttpFields = std::map<std::string, std::string, boost::beast::iless>;
+
 /// \brief Result of a GET request.
 struct HttpResult
 {
   unsigned status = 0; ///< HTTP status; 0 without a complete response
   std::string body;
-  std::map<std::string, std::string> fields; ///< response headers
+  HttpFields fields;            ///< response headers
   bool connected = false;       ///< the TCP connection was established
   bool refused = false;         ///< the TCP connection was refused
   MilliDuration transferTime{}; ///< from the response's first bytes to its last
--- a/buckthornwing/src/Io/RequestTrace.cpp
+++ b/buckthornwing/src/Io/RequestTrace.cpp
@@ -18,9 +18,9 @@
 /// reset of the flow may follow this late.
 constexpr std::int64_t kTrailMs = 6000;
 /// \brief Events that affect every flow of an instance.
-constexpr std::array<std::string_view, 8> kCommonEvents{
-  "start",          "stop_requested", "routes", "store_lost",
-  "store_regained", "paused",         "reload", "lines_left_out"
+constexpr std::array<std::string_view, 9> kCommonEvents{
+  "start",     "stop_requested", "routes", "store_lost",    "store_regained",
+  "store_era", "paused",         "reload", "lines_left_out"
 };
 
 /// \brief Properties of a request, found by the first pass over the log.
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -62,6 +62,9 @@
 addView(const TagBlackboard& board, MilliTime now, boost::json::object& line)
 {
   line["targets_revision"] = board.registry.revision();
+  if (board.storeEra) {
+    line["store_era"] = *board.storeEra;
+  }
   addAge("targets_age_ms", board.targetsConfirmedAt, now, line);
   line["routes_version"] = board.routes.version();
   addAge("routes_age_ms", board.routesConfirmedAt, now, line);
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -152,6 +152,10 @@
                 "counter",
                 "Entries of the registry that are no target",
                 board.counters.unreadableEntries);
+  writer.single("store_era_changes_total",
+                "counter",
+                "Times that the store came back from an older copy",
+                board.counters.storeEraChanges);
   writer.single("peer_updates_malformed_total",
                 "counter",
                 "Views from peers that could not be read",
@@ -189,6 +193,8 @@
   status["routes_version"] = board.routes.version();
   status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
   status["targets_revision"] = board.registry.revision();
+  status["store_era"] = board.storeEra ? boost::json::value(*board.storeEra)
+                                       : boost::json::value(nullptr);
   status["targets_age_ms"] = internal::ageOrNull(board.targetsConfirmedAt, now);
   status["tracked_flows"] = board.observer.flowCount();
   boost::json::object outcomes;
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -30,6 +30,8 @@
   std::uint64_t unreadableEntries = 0;
   /// View updates from peers that could not be decoded.
   std::uint64_t malformedUpdates = 0;
+  /// Changes of the store's era that were observed.
+  std::uint64_t storeEraChanges = 0;
   LatencyHistogram targetsAges; ///< age of the targets' view at placements
 };
 
@@ -74,6 +76,8 @@
   MilliTime routesConfirmedAt{}; ///< like targetsConfirmedAt
   EventStamp routesConfirmation;
   EventStamp storeFailure; ///< last known failure to read the store
+  /// Era of the store's newest answer; nothing if none has had one.
+  std::optional<std::uint64_t> storeEra;
   /// Store revision from which changes of the routes are read.
   std::uint64_t routesRevision = 0;
   /// Time between the last two ticks; long if the process did not run.
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -1,6 +1,7 @@
 #include "TagEngine.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornwing {
 namespace internal {
@@ -98,6 +99,23 @@
   this->fleet.announceConfirmation(now);
 }
 
+void
+TagEngine::onStoreEra(std::uint64_t era)
+{
+  const std::optional<std::uint64_t> before =
+    std::exchange(this->state.storeEra, era);
+  if (!before || *before == era) {
+    return;
+  }
+  ++this->state.counters.storeEraChanges;
+  this->state.events.push_back(
+    { TagEventKind::storeEra,
+      {},
+      this->state.registry.revision(),
+      0,
+      "era " + std::to_string(*before) + " to " + std::to_string(era) });
+}
+
 void
 TagEngine::onStoreResponse(std::string_view keys,
                            std::size_t bytes,
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -53,6 +53,10 @@
   /// \param cause error message for the log
   void onStoreFailure(const std::string& cause, MilliTime now);
 
+  /// \brief Handles the era that an answer of the platform's store has. A
+  /// change is logged and counted.
+  void onStoreEra(std::uint64_t era);
+
   /// \brief Reports an answer of the platform's store; large ones are logged.
   /// \param keys description of the keys that were read
   /// \param bytes size of the answer
--- a/buckthornwing/src/Steering/TagEvent.cpp
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -36,6 +36,8 @@
       return "store_lost";
     case TagEventKind::storeRegained:
       return "store_regained";
+    case TagEventKind::storeEra:
+      return "store_era";
     case TagEventKind::viewServed:
       return "view_served";
     case TagEventKind::viewFetched:
