--- a/buckthornwing/src/Io/HttpServer.cpp
+++ b/buckthornwing/src/Io/HttpServer.cpp
@@ -74,6 +74,9 @@
     if (!reply.etag.empty()) {
       this->response.set(http::field::etag, reply.etag);
     }
+    for (const auto& [name, value] : reply.fields) {
+      this->response.set(name, value);
+    }
     this->response.body() = std::move(reply.body);
     this->response.prepare_payload();
     http::async_write(
--- a/buckthornwing/src/Io/HttpServer.h
+++ b/buckthornwing/src/Io/HttpServer.h
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/leaf/result.hpp>
 #include <functional>
+#include <map>
 #include <string>
 
 namespace buckthornwing {
@@ -16,7 +17,8 @@
   unsigned status = 200;
   std::string contentType = "application/json";
   std::string body;
-  std::string etag; ///< no ETag header if empty
+  std::string etag;                            ///< no ETag header if empty
+  std::map<std::string, std::string> fields{}; ///< further headers
 };
 
 /// \brief HTTP server for GET requests. Closes a connection after one response.
--- a/standin/StoreStandin.cpp
+++ b/standin/StoreStandin.cpp
@@ -1,6 +1,8 @@
 #include "StoreStandin.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
+#include <charconv>
 #include <sodium.h>
 
 namespace buckthornwing::standin {
@@ -14,6 +16,25 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
+/// \returns the text with its percent-encoded bytes decoded.
+std::string
+decodePercent(const std::string& text)
+{
+  constexpr int kHexadecimal = 16;
+  std::string decoded;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    unsigned value = 0;
+    const char* digits = text.data() + at + 1;
+    const bool isEncoded =
+      text[at] == '%' && at + 2 < text.size() &&
+      std::from_chars(digits, digits + 2, value, kHexadecimal).ptr ==
+        digits + 2;
+    decoded += isEncoded ? static_cast<char>(value) : text[at];
+    at += isEncoded ? 2 : 0;
+  }
+  return decoded;
+}
+
 /// \returns the value of a query parameter, or empty text if it is absent.
 std::string
 queryText(const std::string& target, const std::string& name)
@@ -24,7 +45,7 @@
     const std::size_t end = target.find('&', start);
     const std::string pair = target.substr(start, end - start);
     if (pair.starts_with(name + "=")) {
-      return pair.substr(name.size() + 1);
+      return decodePercent(pair.substr(name.size() + 1));
     }
     at = end;
   }
@@ -76,14 +97,20 @@
 void
 StoreStandin::put(const std::string& key, const std::string& value)
 {
-  this->items[key] = Item{ value, ++this->revision, false };
+  Item& item = this->items[key];
+  const bool isNew = item.revision == 0 || item.isDeleted;
+  ++this->revision;
+  item.createdRevision = isNew ? this->revision : item.createdRevision;
+  item.value = value;
+  item.revision = this->revision;
+  item.isDeleted = false;
   this->answerWatches();
 }
 
 void
 StoreStandin::remove(const std::string& key)
 {
-  this->items[key] = Item{ {}, ++this->revision, true };
+  this->items[key] = Item{ {}, ++this->revision, 0, true };
   this->answerWatches();
 }
 
@@ -95,6 +122,24 @@
                 [](const auto& item) { return item.second.isDeleted; });
 }
 
+void
+StoreStandin::restore(const Copy& from)
+{
+  this->items = from.items;
+  this->revision = from.revision;
+  this->droppedRevision = std::min(this->droppedRevision, from.revision);
+  ++this->era;
+  this->watches.clear();
+}
+
+void
+StoreStandin::reply(const HttpServer::Respond& respond,
+                    HttpResponse response) const
+{
+  response.fields["Store-Era"] = std::to_string(this->era);
+  respond(std::move(response));
+}
+
 void
 StoreStandin::serve(const std::string& target,
                     const HttpServer::Respond& respond)
@@ -102,13 +147,15 @@
   ++this->callCount;
   switch (this->fault) {
     case StoreFault::busy:
-      respond({ internal::kUnavailable, "text/plain", "", {} });
+      this->reply(respond, { internal::kUnavailable, "text/plain", "", {} });
       return;
     case StoreFault::limited:
-      respond({ internal::kTooManyRequests, "text/plain", "", {} });
+      this->reply(respond,
+                  { internal::kTooManyRequests, "text/plain", "", {} });
       return;
     case StoreFault::malformed:
-      respond(
+      this->reply(
+        respond,
         { internal::kOk, "application/json", R"({"items":[{"key":)", {} });
       return;
     case StoreFault::silent:
@@ -122,7 +169,7 @@
   } else if (target.starts_with("/-/kv-watch")) {
     this->watch(target, respond);
   } else {
-    respond({ internal::kNotFound, "text/plain", "", {} });
+    this->reply(respond, { internal::kNotFound, "text/plain", "", {} });
   }
 }
 
@@ -146,13 +193,16 @@
     page.push_back({ { "key", key },
                      { "value", internal::encodeBase64(item.value) },
                      { "revision", item.revision },
-                     { "created_rev", item.revision },
+                     { "created_rev", item.createdRevision },
                      { "lease", 0 } });
   }
   body["items"] = std::move(page);
   body["has_more"] = hasMore;
   body["as_of"] = this->revision;
-  respond(internal::jsonReply(body));
+  this->reply(respond, internal::jsonReply(body));
+  if (this->afterPage) {
+    this->afterPage();
+  }
 }
 
 void
@@ -165,8 +215,10 @@
                     std::chrono::milliseconds(
                       queryNumber(target, "wait_ms", 0)),
                   respond };
-  if (newWatch.after < this->droppedRevision) {
-    respond({ internal::kHistoryGone, "text/plain", "", {} });
+  const bool isKnown =
+    newWatch.after >= this->droppedRevision && newWatch.after <= this->revision;
+  if (!isKnown) {
+    this->reply(respond, { internal::kHistoryGone, "text/plain", "", {} });
   } else if (!this->answerWatch(newWatch, false)) {
     this->watches.push_back(std::move(newWatch));
   }
@@ -194,7 +246,7 @@
   boost::json::object body;
   body["events"] = std::move(events);
   body["as_of"] = this->revision;
-  watch.respond(internal::jsonReply(body));
+  this->reply(watch.respond, internal::jsonReply(body));
   return true;
 }
 
--- a/standin/StoreStandin.h
+++ b/standin/StoreStandin.h
@@ -23,10 +23,25 @@
 
 /// \brief Stand-in for the platform's metadata store: an HTTP server with keys
 /// that have revisions, paged listings, watches, and a history of changes that
-/// can be dropped.
+/// can be dropped. It may be replaced by an older copy of itself.
 class StoreStandin
 {
+  struct Item
+  {
+    std::string value;
+    std::uint64_t revision = 0;
+    std::uint64_t createdRevision = 0;
+    bool isDeleted = false;
+  };
+
 public:
+  /// \brief The store's data at one time.
+  struct Copy
+  {
+    std::map<std::string, Item> items;
+    std::uint64_t revision = 0;
+  };
+
   /// \param pageItems largest number of items in a page of a listing
   StoreStandin(boost::asio::io_context& context, std::size_t pageItems);
 
@@ -40,18 +55,23 @@
   /// earlier revision is answered with status 410.
   void dropHistory();
 
+  /// \returns the present data.
+  Copy copy() const { return { this->items, this->revision }; }
+  /// \brief Replaces the data by an older copy: pending watches are cut,
+  /// revisions after the copy's are given out again, and the era increases.
+  void restore(const Copy& from);
+
   void setFault(StoreFault newFault) { this->fault = newFault; }
+  /// \brief Sets a function that is called after the response to each page of a
+  /// listing.
+  void setAfterPage(std::function<void()> function)
+  {
+    this->afterPage = std::move(function);
+  }
   /// \returns the number of requests received.
   std::uint64_t calls() const { return this->callCount; }
 
 private:
-  struct Item
-  {
-    std::string value;
-    std::uint64_t revision = 0;
-    bool isDeleted = false;
-  };
-
   struct Watch
   {
     std::string prefix;
@@ -68,9 +88,13 @@
   std::list<HttpServer::Respond> ignoredRequests;
   std::uint64_t revision = 1;
   std::uint64_t droppedRevision = 0; ///< watches from before it get 410
+  std::uint64_t era = 1;
   std::uint64_t callCount = 0;
   StoreFault fault = StoreFault::none;
+  std::function<void()> afterPage;
 
+  /// \brief Sends a response with the header of the era.
+  void reply(const HttpServer::Respond& respond, HttpResponse response) const;
   void serve(const std::string& target, const HttpServer::Respond& respond);
   void list(const std::string& target, const HttpServer::Respond& respond);
   void watch(const std::string& target, const HttpServer::Respond& respond);
