--- a/bench/TagFleetData.h
+++ b/bench/TagFleetData.h
@@ -9,6 +9,9 @@
 
 namespace buckthornwing::bench {
 
+/// \brief Position of the benchmarks' data, after all of their changes.
+inline constexpr StorePosition kLoadedAt{ 0, 1000000 };
+
 inline constexpr std::size_t kTargetsPerService = 40;
 inline constexpr std::size_t kZones = 9;
 
@@ -43,7 +46,7 @@
   for (std::size_t i = 0; i < targets; ++i) {
     TargetChange change;
     change.id = "t-" + std::to_string(i + 1);
-    change.revision = i + 1;
+    change.version = { 0, i + 1 };
     change.kind = ChangeKind::listed;
     change.record.id = change.id;
     change.record.number = i + 1;
@@ -66,7 +69,6 @@
   const std::size_t services = targets / kTargetsPerService + 1;
   RouteTable table;
   table.version = 1;
-  table.revision = 1;
   for (std::size_t i = 0; i < services; ++i) {
     SelectedService service;
     service.name = "s" + std::to_string(i);
--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -37,8 +37,8 @@
       const TagSettings settings = makeSettings(i);
       auto& engine = this->engines[settings.advertisedAddress];
       engine = std::make_unique<TagEngine>(settings);
-      engine->onRoutes(listRoutes(targets), this->now);
-      engine->onTargetListing(changes.size(), changes, this->now, this->now);
+      engine->onRoutes(listRoutes(targets), kLoadedAt, this->now);
+      engine->onTargetListing({ kLoadedAt, changes }, this->now, this->now);
       this->openFlows(*engine, static_cast<std::uint32_t>(i), targets);
     }
   }
@@ -62,8 +62,9 @@
       this->now = this->now + kTagTickPeriod;
       std::vector<OutgoingFleetMessage> sent;
       for (auto& [address, engine] : this->engines) {
-        engine->onTargetChanges(0, {}, this->now, this->now);
-        engine->onRoutesConfirmed(0, this->now);
+        engine->onTargetChanges(
+          { kLoadedAt, kLoadedAt, {} }, this->now, this->now);
+        engine->onRoutesConfirmed(kLoadedAt, this->now);
         engine->tick(this->now);
         for (auto& message : engine->takeOutgoing()) {
           sent.push_back(std::move(message));
--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -29,8 +29,8 @@
     : engine(makeSettings(0))
   {
     const auto changes = listTargets(targets);
-    this->engine.onRoutes(listRoutes(targets), this->now);
-    this->engine.onTargetListing(changes.size(), changes, this->now, this->now);
+    this->engine.onRoutes(listRoutes(targets), kLoadedAt, this->now);
+    this->engine.onTargetListing({ kLoadedAt, changes }, this->now, this->now);
   }
 
   SteeringDecision open(std::uint32_t client)
@@ -152,8 +152,9 @@
   fixture.openFlows(20000);
   for (auto _ : state) {
     fixture.now = fixture.now + kTagTickPeriod;
-    fixture.engine.onTargetChanges(0, {}, fixture.now, fixture.now);
-    fixture.engine.onRoutesConfirmed(0, fixture.now);
+    fixture.engine.onTargetChanges(
+      { kLoadedAt, kLoadedAt, {} }, fixture.now, fixture.now);
+    fixture.engine.onRoutesConfirmed(kLoadedAt, fixture.now);
     fixture.engine.tick(fixture.now);
     benchmark::DoNotOptimize(fixture.engine.takeOutgoing());
   }
--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -143,6 +143,9 @@
     request.have = static_cast<std::int64_t>(body.have);
     request.transfer = static_cast<std::int64_t>(body.transfer);
     request.offset = static_cast<std::int32_t>(body.offset);
+    if (body.era) {
+      request.__set_era(static_cast<std::int64_t>(*body.era));
+    }
     this->out.__set_viewRequest(request);
   }
 
@@ -215,6 +218,9 @@
     request.have = static_cast<std::uint64_t>(in.viewRequest.have);
     request.transfer = static_cast<std::uint64_t>(in.viewRequest.transfer);
     request.offset = static_cast<std::uint32_t>(in.viewRequest.offset);
+    if (in.viewRequest.__isset.era) {
+      request.era = static_cast<StoreEra>(in.viewRequest.era);
+    }
     return readContent(in.viewRequest.content, request.content);
   }
   if (in.__isset.memberRequest) {
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -29,9 +29,11 @@
 /// \brief Versions of an instance's view, and the ages of their confirmations.
 struct ViewVersions
 {
-  std::uint64_t targetsRevision = 0;
+  std::uint64_t targetsRevision = 0; ///< of TargetRegistry::contentPosition()
   std::uint64_t routesVersion = 0;
-  std::uint64_t routesRevision = 0;
+  std::uint64_t routesRevision = 0;   ///< of TagBlackboard::routesPosition
+  std::optional<StoreEra> targetsEra; ///< era of \a targetsRevision
+  std::optional<StoreEra> routesEra;  ///< era of \a routesRevision
   MilliDuration targetsAge{}; ///< time since the store confirmed the targets
   MilliDuration routesAge{};  ///< time since the store confirmed the routes
   MilliDuration sinceStoreFailure{}; ///< time since the last store failure
@@ -104,8 +106,9 @@
   ViewContent content = ViewContent::targets;
   /// Sender's revision of targets, or version of routes.
   std::uint64_t have = 0;
-  std::uint64_t transfer = 0; ///< id of the transfer; 0 requests a new update
-  std::uint32_t offset = 0;   ///< of the first requested byte
+  std::optional<StoreEra> era; ///< era of the revision of targets
+  std::uint64_t transfer = 0;  ///< id of the transfer; 0 requests a new update
+  std::uint32_t offset = 0;    ///< of the first requested byte
 };
 
 /// \brief A part of an encoded ViewUpdate.
@@ -122,8 +125,9 @@
 struct ViewUpdate
 {
   ViewVersions view;
-  std::uint64_t targetsBase = 0; ///< revision that \a targets continue from
-  bool isFull = false;           ///< \a targets is a complete list
+  /// Revision that \a targets continue from, in the era of \a view.
+  std::uint64_t targetsBase = 0;
+  bool isFull = false; ///< \a targets is a complete list
   std::vector<TargetChange> targets;
   std::optional<RouteChanges> routes;
 };
--- a/buckthornwing/src/Fleet/FleetMessenger.cpp
+++ b/buckthornwing/src/Fleet/FleetMessenger.cpp
@@ -34,9 +34,14 @@
 FleetMessenger::ownView(MilliTime now) const
 {
   ViewVersions view;
-  view.targetsRevision = this->board.registry.lastChange();
+  const StorePosition targets = this->board.registry.contentPosition();
+  const StorePosition routes =
+    this->board.routesPosition.value_or(StorePosition{});
+  view.targetsRevision = targets.revision;
+  view.targetsEra = targets.era;
   view.routesVersion = this->board.routes.version();
-  view.routesRevision = this->board.routesRevision;
+  view.routesRevision = routes.revision;
+  view.routesEra = routes.era;
   view.targetsAge = now - this->board.targetsConfirmedAt;
   view.routesAge = now - this->board.routesConfirmedAt;
   view.sinceStoreFailure = now - this->board.registry.lastStoreFailure();
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -114,10 +114,11 @@
 {
   if (now >= this->nextTargetsRequest && !this->fetchedTargets.isFetching()) {
     this->nextTargetsRequest = now + this->requestPeriod();
+    const StorePosition position = this->board.registry.position();
     this->messenger.send(
       from,
       ViewRequest{
-        ViewContent::targets, this->board.registry.lastChange(), 0, 0 });
+        ViewContent::targets, position.revision, position.era, 0, 0 });
   }
 }
 
@@ -128,13 +129,15 @@
     this->nextRoutesRequest = now + this->requestPeriod();
     this->messenger.send(
       from,
-      ViewRequest{ ViewContent::routes, this->board.routes.version(), 0, 0 });
+      ViewRequest{
+        ViewContent::routes, this->board.routes.version(), {}, 0, 0 });
   }
 }
 
 void
 ViewExchange::mergeConfirmations(const ViewVersions& peer, MilliTime now)
 {
+  this->mergeEra(peer);
   this->mergeTargetsConfirmation(peer, now);
   this->mergeRoutesConfirmation(peer, now);
   const MilliTime failedAt{ now.ms - peer.sinceStoreFailure.ms };
@@ -145,12 +148,25 @@
   }
 }
 
+void
+ViewExchange::mergeEra(const ViewVersions& peer)
+{
+  for (const std::optional<StoreEra>& named :
+       { peer.targetsEra, peer.routesEra }) {
+    if (named && *named > this->board.knownEra()) {
+      this->board.storeEra = named;
+    }
+  }
+}
+
 void
 ViewExchange::mergeTargetsConfirmation(const ViewVersions& peer, MilliTime now)
 {
   // A confirmation of a view that is not newer also confirms this
-  // instance's view.
-  if (peer.targetsRevision > this->board.registry.lastChange() ||
+  // instance's view, unless it was given in another era.
+  const StorePosition own = this->board.registry.position();
+  const StorePosition confirmed = this->targetsPositionOf(peer);
+  if (confirmed.era != own.era || confirmed > own ||
       !this->targetsConfirmations.accept(peer.targetsConfirmation)) {
     return;
   }
@@ -168,8 +184,17 @@
 void
 ViewExchange::mergeRoutesConfirmation(const ViewVersions& peer, MilliTime now)
 {
-  if (peer.routesVersion > this->board.routes.version() ||
-      !this->routesConfirmations.accept(peer.routesConfirmation)) {
+  const StoreEra era = this->eraOf(peer.routesEra);
+  const bool isOfEarlierEra =
+    this->board.routesPosition && era < this->board.routesPosition->era;
+  if (peer.routesVersion > this->board.routes.version() || isOfEarlierEra) {
+    return;
+  }
+  if (peer.routesEra && this->board.routes.loaded()) {
+    // Versions only increase, so this instance holds what the peer holds there.
+    this->board.advanceRoutes({ era, peer.routesRevision });
+  }
+  if (!this->routesConfirmations.accept(peer.routesConfirmation)) {
     return;
   }
   const MilliTime confirmedAt{ now.ms - peer.routesAge.ms };
@@ -184,22 +209,22 @@
                              const Endpoint& from,
                              MilliTime now)
 {
-  const std::uint64_t targets = this->board.registry.lastChange();
+  const StorePosition targets = this->board.registry.position();
   const std::uint64_t routes = this->board.routes.version();
-  const bool isBehind =
-    peer.targetsRevision > targets || peer.routesVersion > routes;
+  const StorePosition peerTargets = this->targetsPositionOf(peer);
+  const bool isBehind = peerTargets > targets || peer.routesVersion > routes;
   if (isBehind && this->newerAtPeersSince.ms == 0) {
     this->newerAtPeersSince = now;
   }
   this->newestAtPeers.targets =
-    std::max(this->newestAtPeers.targets, peer.targetsRevision);
+    std::max(this->newestAtPeers.targets, peerTargets);
   this->newestAtPeers.routes =
     std::max(this->newestAtPeers.routes, peer.routesVersion);
   if (targets >= this->newestAtPeers.targets &&
       routes >= this->newestAtPeers.routes) {
     this->newerAtPeersSince = MilliTime{};
   }
-  if (peer.targetsRevision > targets) {
+  if (peerTargets > targets) {
     this->requestTargets(from, now);
   }
   if (peer.routesVersion > routes) {
@@ -208,21 +233,40 @@
 }
 
 std::string
-ViewExchange::encodeUpdate(ViewContent content,
-                           std::uint64_t since,
-                           MilliTime now) const
+ViewExchange::encodeTargets(const std::optional<StorePosition>& since,
+                            MilliTime now) const
 {
   ViewUpdate update;
   update.view = this->messenger.ownView(now);
-  if (content == ViewContent::targets) {
-    update.targetsBase = since;
-    update.targets = this->board.registry.changesSince(since, update.isFull);
-  } else if (this->board.routes.version() > since) {
+  update.targets = this->board.registry.changesSince(since, update.isFull);
+  update.targetsBase = update.isFull ? 0 : since->revision;
+  return encodeViewUpdate(update);
+}
+
+std::string
+ViewExchange::encodeRoutes(std::uint64_t since, MilliTime now) const
+{
+  ViewUpdate update;
+  update.view = this->messenger.ownView(now);
+  if (this->board.routes.version() > since) {
     update.routes = this->board.routes.changesSince(since);
   }
   return encodeViewUpdate(update);
 }
 
+std::string
+ViewExchange::encodeRequested(const ViewRequest& request, MilliTime now) const
+{
+  if (request.content == ViewContent::routes) {
+    return this->encodeRoutes(request.have, now);
+  }
+  std::optional<StorePosition> since;
+  if (request.have != 0) {
+    since = StorePosition{ this->eraOf(request.era), request.have };
+  }
+  return this->encodeTargets(since, now);
+}
+
 void
 ViewExchange::sendWindow(const Endpoint& to,
                          const std::string& encoded,
@@ -235,10 +279,10 @@
 }
 
 void
-ViewExchange::pushContent(ViewContent content,
-                          std::uint64_t base,
-                          bool isReading,
-                          MilliTime now)
+ViewExchange::pushUpdate(ViewContent content,
+                         const std::string& encoded,
+                         bool isReading,
+                         MilliTime now)
 {
   std::vector<const KnownMember*> peers =
     this->members.sample(true, internal::kPushPeers, this->board.random);
@@ -246,24 +290,23 @@
     const auto far = this->members.sampleOtherZones(now, this->board.random);
     peers.insert(peers.end(), far.begin(), far.end());
   }
-  const std::string encoded = this->encodeUpdate(content, base, now);
   const bool isSmall = encoded.size() <= internal::kMaxPushedBytes;
   const auto transfer = isSmall ? this->served.add(encoded, now) : std::nullopt;
   for (const KnownMember* peer : peers) {
     // Large changes are only announced; members that lack them request them.
     if (transfer) {
       this->sendWindow(
-        peer->member.address, encoded, { content, base, *transfer, 0 });
+        peer->member.address, encoded, { content, 0, {}, *transfer, 0 });
     } else {
       this->messenger.sendHeartbeat(peer->member.address, now);
     }
   }
 }
 
-ViewExchange::ViewPosition
+std::optional<ViewExchange::ViewPosition>
 ViewExchange::pushBase(MilliTime now) const
 {
-  ViewPosition base;
+  std::optional<ViewPosition> base;
   for (const ViewPosition& point : this->pushHistory) {
     if (now - point.at >= internal::kPushOverlap) {
       base = point;
@@ -276,7 +319,7 @@
 ViewExchange::recordPush(MilliTime now)
 {
   const ViewPosition point{ now,
-                            this->board.registry.lastChange(),
+                            this->board.registry.contentPosition(),
                             this->board.routes.version() };
   this->pushHistory.push_back(point);
   while (this->pushHistory.size() > 1 &&
@@ -288,7 +331,7 @@
 void
 ViewExchange::push(bool isReading, MilliTime now)
 {
-  const std::uint64_t targets = this->board.registry.lastChange();
+  const StorePosition targets = this->board.registry.contentPosition();
   const std::uint64_t routes = this->board.routes.version();
   const bool hasNewTargets = targets != this->pushed.targets;
   const bool hasNewRoutes = routes != this->pushed.routes;
@@ -297,17 +340,23 @@
     return;
   }
   this->nextPush = now + internal::kPushPeriod;
-  const ViewPosition base = this->pushBase(now);
+  const std::optional<ViewPosition> base = this->pushBase(now);
   this->pushed = ViewPosition{ now, targets, routes };
   this->recordPush(now);
-  if (base.targets == 0) {
+  if (!base) {
     return;
   }
   if (hasNewTargets) {
-    this->pushContent(ViewContent::targets, base.targets, isReading, now);
+    this->pushUpdate(ViewContent::targets,
+                     this->encodeTargets(base->targets, now),
+                     isReading,
+                     now);
   }
   if (hasNewRoutes) {
-    this->pushContent(ViewContent::routes, base.routes, isReading, now);
+    this->pushUpdate(ViewContent::routes,
+                     this->encodeRoutes(base->routes, now),
+                     isReading,
+                     now);
   }
 }
 
@@ -321,8 +370,8 @@
   }
   ViewRequest request = body;
   if (request.transfer == 0) {
-    const auto added = this->served.add(
-      this->encodeUpdate(request.content, request.have, now), now);
+    const auto added =
+      this->served.add(this->encodeRequested(request, now), now);
     if (!added) {
       // Too many transfers are in progress; the reply names other members that
       // have a view.
@@ -396,22 +445,41 @@
                        const FleetMember& sender,
                        MilliTime now)
 {
-  const std::uint64_t revision = update.view.targetsRevision;
-  const bool isNewer = revision > this->board.registry.lastChange();
-  const bool continues =
-    !update.isFull && update.targetsBase <= this->board.registry.lastChange();
-  if (content == ViewContent::targets && update.isFull && isNewer) {
-    this->view.onSnapshot(revision, update.targets, now);
-  } else if (content == ViewContent::targets && continues) {
-    this->view.onChanges(revision, update.targets, now);
-  }
-  if (update.routes) {
-    this->view.onRouteChanges(*update.routes, now);
-    this->board.routesRevision =
-      std::max(this->board.routesRevision, update.view.routesRevision);
+  this->mergeEra(update.view);
+  if (content == ViewContent::targets) {
+    this->onTargetsUpdate(update, now);
+  } else if (update.routes) {
+    this->onRoutesUpdate(update, now);
   }
   this->mergeConfirmations(update.view, now);
   this->requestIfNewer(update.view, sender.address, now);
 }
 
+void
+ViewExchange::onTargetsUpdate(const ViewUpdate& update, MilliTime now)
+{
+  const StorePosition asOf = this->targetsPositionOf(update.view);
+  std::vector<TargetChange> targets = update.targets;
+  for (TargetChange& change : targets) {
+    change.version.era = asOf.era;
+  }
+  if (!update.isFull) {
+    const StorePosition base{ asOf.era, update.targetsBase };
+    this->view.onDelta({ base, asOf, targets }, now);
+  } else if (!this->board.registry.loaded() ||
+             asOf > this->board.registry.position()) {
+    this->view.onListing({ asOf, targets }, now);
+  }
+}
+
+void
+ViewExchange::onRoutesUpdate(const ViewUpdate& update, MilliTime now)
+{
+  const bool isApplied = this->view.onRouteChanges(*update.routes, now);
+  if (isApplied && update.view.routesEra) {
+    this->board.advanceRoutes(
+      { *update.view.routesEra, update.view.routesRevision });
+  }
+}
+
 }
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -72,8 +72,8 @@
   struct ViewPosition
   {
     MilliTime at{};
-    std::uint64_t targets = 0; ///< revision
-    std::uint64_t routes = 0;  ///< version
+    StorePosition targets;
+    std::uint64_t routes = 0; ///< version
   };
 
   TagBlackboard& board;
@@ -106,15 +106,33 @@
                 ViewContent content,
                 const FleetMember& sender,
                 MilliTime now);
-  ViewPosition pushBase(MilliTime now) const;
+  void onTargetsUpdate(const ViewUpdate& update, MilliTime now);
+  void onRoutesUpdate(const ViewUpdate& update, MilliTime now);
+  /// \returns the era that a peer names. Peers of the version before name none;
+  /// theirs is taken to be the newest one.
+  StoreEra eraOf(const std::optional<StoreEra>& named) const
+  {
+    return named.value_or(this->board.knownEra());
+  }
+  StorePosition targetsPositionOf(const ViewVersions& peer) const
+  {
+    return { this->eraOf(peer.targetsEra), peer.targetsRevision };
+  }
+  /// \brief Takes over that the store has a new era.
+  void mergeEra(const ViewVersions& peer);
+  /// \returns the versions of the last push that is at least kPushOverlap old;
+  /// nothing if there is none.
+  std::optional<ViewPosition> pushBase(MilliTime now) const;
   void recordPush(MilliTime now);
-  void pushContent(ViewContent content,
-                   std::uint64_t base,
-                   bool isReading,
-                   MilliTime now);
-  std::string encodeUpdate(ViewContent content,
-                           std::uint64_t since,
-                           MilliTime now) const;
+  /// \param encoded the update to send
+  void pushUpdate(ViewContent content,
+                  const std::string& encoded,
+                  bool isReading,
+                  MilliTime now);
+  std::string encodeTargets(const std::optional<StorePosition>& since,
+                            MilliTime now) const;
+  std::string encodeRoutes(std::uint64_t since, MilliTime now) const;
+  std::string encodeRequested(const ViewRequest& request, MilliTime now) const;
   void reportServed(const ViewRequest& request,
                     const FleetMember& receiver,
                     MilliTime now);
--- a/buckthornwing/src/Fleet/ViewTransfer.cpp
+++ b/buckthornwing/src/Fleet/ViewTransfer.cpp
@@ -110,7 +110,7 @@
   const bool endsWindow = end % kViewWindowBytes == 0;
   if (endsWindow) {
     progress.next =
-      ViewRequest{ this->content, 0, transfer.id, firstMissing(transfer) };
+      ViewRequest{ this->content, 0, {}, transfer.id, firstMissing(transfer) };
   }
   return progress;
 }
@@ -127,7 +127,7 @@
     ++transfer.tries;
     requests.emplace_back(
       sender,
-      ViewRequest{ this->content, 0, transfer.id, firstMissing(transfer) });
+      ViewRequest{ this->content, 0, {}, transfer.id, firstMissing(transfer) });
   }
   std::erase_if(this->bySender, [](const auto& entry) {
     return entry.second.tries > kMaxRepeatedRequests;
--- a/buckthornwing/src/Fleet/ViewWire.cpp
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -34,6 +34,12 @@
   out.targetsConfirmation = toWire(view.targetsConfirmation);
   out.routesConfirmation = toWire(view.routesConfirmation);
   out.storeFailure = toWire(view.storeFailure);
+  if (view.targetsEra) {
+    out.__set_targetsEra(static_cast<std::int64_t>(*view.targetsEra));
+  }
+  if (view.routesEra) {
+    out.__set_routesEra(static_cast<std::int64_t>(*view.routesEra));
+  }
   return out;
 }
 
@@ -50,6 +56,12 @@
   out.targetsConfirmation = fromWire(in.targetsConfirmation);
   out.routesConfirmation = fromWire(in.routesConfirmation);
   out.storeFailure = fromWire(in.storeFailure);
+  if (in.__isset.targetsEra) {
+    out.targetsEra = static_cast<StoreEra>(in.targetsEra);
+  }
+  if (in.__isset.routesEra) {
+    out.routesEra = static_cast<StoreEra>(in.routesEra);
+  }
   return out;
 }
 
@@ -58,7 +70,7 @@
 {
   fleetwire::Target out;
   out.id = change.id;
-  out.revision = static_cast<std::int64_t>(change.revision);
+  out.revision = static_cast<std::int64_t>(change.version.revision);
   out.kind = static_cast<std::int8_t>(change.kind);
   if (change.kind != ChangeKind::listed) {
     return out;
@@ -74,20 +86,25 @@
     out.labels.push_back(std::move(label));
   }
   out.slots = static_cast<std::int32_t>(record.slots);
-  out.state = static_cast<std::int8_t>(record.state);
+  const TargetState state =
+    change.awaitsRenewal ? TargetState::draining : record.state;
+  out.state = static_cast<std::int8_t>(state);
+  if (change.awaitsRenewal) {
+    out.__set_awaitsRenewal(true);
+  }
   out.slowForMs = toWireMs(record.remainingWarmup);
   out.incarnation = static_cast<std::int64_t>(record.incarnation);
   return out;
 }
 
 bool
-fromWire(const fleetwire::Target& in, TargetChange& out)
+fromWire(const fleetwire::Target& in, StoreEra era, TargetChange& out)
 {
   if (in.kind < 0 || in.kind > static_cast<std::int8_t>(ChangeKind::gone)) {
     return false;
   }
   out.id = in.id;
-  out.revision = static_cast<std::uint64_t>(in.revision);
+  out.version = { era, static_cast<std::uint64_t>(in.revision) };
   out.kind = static_cast<ChangeKind>(in.kind);
   if (out.kind != ChangeKind::listed) {
     return true;
@@ -107,7 +124,9 @@
     out.record.labels[label.key] = label.value;
   }
   out.record.slots = static_cast<std::uint32_t>(in.slots);
-  out.record.state = static_cast<TargetState>(in.state);
+  out.awaitsRenewal = in.__isset.awaitsRenewal && in.awaitsRenewal;
+  out.record.state = out.awaitsRenewal ? TargetState::serving
+                                       : static_cast<TargetState>(in.state);
   out.record.remainingWarmup.ms = std::max(in.slowForMs, 0);
   out.record.incarnation = static_cast<std::uint64_t>(in.incarnation);
   return true;
@@ -163,7 +182,6 @@
   fleetwire::RouteChanges out;
   out.base = static_cast<std::int64_t>(changes.base);
   out.version = static_cast<std::int64_t>(changes.version);
-  out.revision = static_cast<std::int64_t>(changes.revision);
   out.idleTimeoutMs = toWireMs(changes.idleTimeout);
   for (const SelectedService& service : changes.services) {
     fleetwire::Service wireService;
@@ -186,7 +204,6 @@
 {
   out.base = static_cast<std::uint64_t>(in.base);
   out.version = static_cast<std::uint64_t>(in.version);
-  out.revision = static_cast<std::uint64_t>(in.revision);
   out.idleTimeout.ms = in.idleTimeoutMs;
   for (const fleetwire::Service& service : in.services) {
     auto parsed = parseSelector(service.selector);
@@ -245,7 +262,7 @@
   out.isFull = in.isFull;
   for (const fleetwire::Target& target : in.targets) {
     TargetChange change;
-    if (!internal::fromWire(target, change)) {
+    if (!internal::fromWire(target, out.view.targetsEra.value_or(0), change)) {
       return std::nullopt;
     }
     out.targets.push_back(std::move(change));
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -35,6 +35,9 @@
   7: EventStamp targetsConfirmation
   8: EventStamp routesConfirmation
   9: EventStamp storeFailure
+  // Eras of the two revisions; not set by versions that know no eras.
+  10: optional i64 targetsEra
+  11: optional i64 routesEra
 }
 
 struct TargetReport {
@@ -61,6 +64,8 @@
   2: i64 have
   3: i64 transfer
   4: i32 offset
+  // Era of a revision of targets.
+  5: optional i64 era
 }
 
 struct Label {
@@ -80,6 +85,9 @@
   9: i8 state
   10: i32 slowForMs
   11: i64 incarnation
+  // Such a target takes no new flows; "state" then says draining, for versions
+  // that don't know this field.
+  12: optional bool awaitsRenewal
 }
 
 struct Share {
@@ -106,7 +114,6 @@
 struct RouteChanges {
   1: i64 base
   2: i64 version
-  3: i64 revision
   4: i32 idleTimeoutMs
   5: list<Service> services
   6: list<Route> routes
--- a/buckthornwing/src/Io/TagLog.cpp
+++ b/buckthornwing/src/Io/TagLog.cpp
@@ -29,7 +29,7 @@
   const KnownTarget& target = board.registry.at(slot);
   const TargetLoad& load = board.observer.load(slot);
   line["target"] = target.record.id;
-  line["target_revision"] = target.revision;
+  line["target_revision"] = target.version.revision;
   line["target_flows"] = load.flows;
   line["target_busy"] = load.busy;
 }
@@ -61,9 +61,10 @@
 void
 addView(const TagBlackboard& board, MilliTime now, boost::json::object& line)
 {
-  line["targets_revision"] = board.registry.revision();
-  if (board.storeEra) {
-    line["store_era"] = *board.storeEra;
+  const StorePosition position = board.registry.position();
+  line["targets_revision"] = position.revision;
+  if (position.era != 0) {
+    line["store_era"] = position.era;
   }
   addAge("targets_age_ms", board.targetsConfirmedAt, now, line);
   line["routes_version"] = board.routes.version();
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -156,6 +156,11 @@
                 "counter",
                 "Times that the store came back from an older copy",
                 board.counters.storeEraChanges);
+  writer.single(
+    "store_answers_outdated_total",
+    "counter",
+    "Answers of an earlier era of the store, which are not believed",
+    board.counters.outdatedAnswers);
   writer.single("peer_updates_malformed_total",
                 "counter",
                 "Views from peers that could not be read",
@@ -192,7 +197,8 @@
   status["stopping"] = board.stopping;
   status["routes_version"] = board.routes.version();
   status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
-  status["targets_revision"] = board.registry.revision();
+  status["targets_revision"] = board.registry.position().revision;
+  status["targets_era"] = board.registry.position().era;
   status["store_era"] = board.storeEra ? boost::json::value(*board.storeEra)
                                        : boost::json::value(nullptr);
   status["targets_age_ms"] = internal::ageOrNull(board.targetsConfirmedAt, now);
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -10,6 +10,11 @@
 
 constexpr std::uint64_t kMaxStopSeconds = 3600;
 constexpr double kMaxLinkMegabits = 1'000'000;
+constexpr std::uint64_t kMaxHeartbeatMs = 60000;
+/// \brief Missed heartbeats after which the store removes a registration.
+constexpr std::int64_t kHeartbeatsPerLifetime = 3;
+/// \brief Time until the removal of a registration is known here.
+constexpr MilliDuration kRemovalDelay{ 1000 };
 /// \brief Hash seed that separates the tag secret from other values derived
 /// from the fleet key.
 constexpr std::uint64_t kTagSecretDomain = 0x7461670000000001ULL;
@@ -49,6 +54,11 @@
   settings.tag.tagSecret = hashText(settings.fleetKey, kTagSecretDomain);
   const auto seconds = reader.number("stop_within_s", 1, kMaxStopSeconds, 6);
   settings.stopTimeout.ms = static_cast<std::int64_t>(seconds) * 1000;
+  const auto heartbeat =
+    reader.number("registration_heartbeat_ms", 1, kMaxHeartbeatMs, 2000);
+  settings.tag.registrationLifetime.ms =
+    kHeartbeatsPerLifetime * static_cast<std::int64_t>(heartbeat) +
+    kRemovalDelay.ms;
   settings.logLevel = static_cast<TagLogLevel>(
     reader.choice("log_level", { "changes", "decisions", "packets" }, 1));
   settings.tag.seeds = parseSeeds(reader, problems);
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -37,11 +37,12 @@
   const MilliTime progress =
     std::max(this->board.lastProgress(target),
              this->board.registry.at(target).changedAt);
-  this->board.events.push_back({ kind,
-                                 this->board.registry.at(target).record.id,
-                                 this->board.registry.at(target).revision,
-                                 (now - progress).ms,
-                                 cause });
+  this->board.events.push_back(
+    { kind,
+      this->board.registry.at(target).record.id,
+      this->board.registry.at(target).version.revision,
+      (now - progress).ms,
+      cause });
 }
 
 void
@@ -52,7 +53,7 @@
   this->board.events.push_back(
     { TagEventKind::targetProbed,
       this->board.registry.at(target).record.id,
-      this->board.registry.at(target).revision,
+      this->board.registry.at(target).version.revision,
       (now - this->board.healthFor(target).probedAt).ms,
       found });
 }
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -12,6 +12,7 @@
 #include "TagEvent.h"
 #include "TagSettings.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -30,8 +31,10 @@
   std::uint64_t unreadableEntries = 0;
   /// View updates from peers that could not be decoded.
   std::uint64_t malformedUpdates = 0;
-  /// Changes of the store's era that were observed.
+  /// Times that the store came back from an older copy of its data.
   std::uint64_t storeEraChanges = 0;
+  /// Answers of the store with an earlier era than one before.
+  std::uint64_t outdatedAnswers = 0;
   LatencyHistogram targetsAges; ///< age of the targets' view at placements
 };
 
@@ -53,7 +56,8 @@
     , tags(scheme)
     , random{ settings.seed }
   {
-    this->registry.setKeepsLapsed(settings.policy.keepsLapsed);
+    this->registry.setRules(
+      { settings.policy.keepsLapsed, settings.registrationLifetime });
   }
 
   TagSettings settings;
@@ -76,10 +80,10 @@
   MilliTime routesConfirmedAt{}; ///< like targetsConfirmedAt
   EventStamp routesConfirmation;
   EventStamp storeFailure; ///< last known failure to read the store
-  /// Era of the store's newest answer; nothing if none has had one.
-  std::optional<std::uint64_t> storeEra;
-  /// Store revision from which changes of the routes are read.
-  std::uint64_t routesRevision = 0;
+  /// Highest era that the store or a peer has named; nothing if none has.
+  std::optional<StoreEra> storeEra;
+  /// Position up to which the routes have been applied; nothing without routes.
+  std::optional<StorePosition> routesPosition;
   /// Time between the last two ticks; long if the process did not run.
   MilliDuration lastTickGap{};
   std::vector<TargetHealth> health; ///< indexed by TargetSlot
@@ -127,6 +131,17 @@
     return std::max(load.progressAt, load.peerProgressAt);
   }
 
+  /// \returns the highest known era of the store.
+  StoreEra knownEra() const { return this->storeEra.value_or(0); }
+
+  /// \brief Raises the position of the routes. The caller has applied all
+  /// changes of the routes up to it.
+  void advanceRoutes(const StorePosition& position)
+  {
+    this->routesPosition =
+      std::max(this->routesPosition.value_or(StorePosition{}), position);
+  }
+
   /// \returns whether both targets and routes are loaded.
   bool hasView() const
   {
@@ -137,7 +152,7 @@
 /// \brief Version of the view on which decisions about held packets depend.
 struct ViewVersion
 {
-  std::uint64_t targetsRevision = 0;
+  StorePosition targets;
   std::uint64_t routesVersion = 0;
   MilliTime targetsCompleteAt{};
 
@@ -149,7 +164,7 @@
 inline ViewVersion
 viewVersionOf(const TagBlackboard& board)
 {
-  return { board.registry.revision(),
+  return { board.registry.position(),
            board.routes.version(),
            board.targetsCompleteAt };
 }
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -49,29 +49,30 @@
 }
 
 void
-TagEngine::onTargetListing(std::uint64_t asOf,
-                           std::span<const TargetChange> listed,
+TagEngine::onTargetListing(const TargetListing& listing,
                            MilliTime readAt,
                            MilliTime now)
 {
-  this->onStoreContact();
-  this->view.onSnapshot(asOf, listed, now);
-  this->state.targetsConfirmedAt = now;
-  this->state.targetsConfirmation = this->state.stampEvent(now);
-  this->state.targetsCompleteAt =
-    std::max(this->state.targetsCompleteAt, readAt);
-  this->fleet.pushView(now);
-  this->fleet.announceConfirmation(now);
+  this->view.onListing(listing, now);
+  this->onTargetsConfirmed(readAt, now);
 }
 
-void
-TagEngine::onTargetChanges(std::uint64_t asOf,
-                           std::span<const TargetChange> changes,
+bool
+TagEngine::onTargetChanges(const TargetDelta& delta,
                            MilliTime readAt,
                            MilliTime now)
+{
+  if (!this->view.onDelta(delta, now)) {
+    return false;
+  }
+  this->onTargetsConfirmed(readAt, now);
+  return true;
+}
+
+void
+TagEngine::onTargetsConfirmed(MilliTime readAt, MilliTime now)
 {
   this->onStoreContact();
-  this->view.onChanges(asOf, changes, now);
   this->state.targetsConfirmedAt = now;
   this->state.targetsConfirmation = this->state.stampEvent(now);
   this->state.targetsCompleteAt =
@@ -81,39 +82,42 @@
 }
 
 void
-TagEngine::onRoutes(RouteTable table, MilliTime now)
+TagEngine::onRoutes(RouteTable table, const StorePosition& asOf, MilliTime now)
 {
-  const std::uint64_t revision = table.revision;
   this->view.onRoutes(std::move(table), now);
-  this->onRoutesConfirmed(revision, now);
+  this->onRoutesConfirmed(asOf, now);
 }
 
 void
-TagEngine::onRoutesConfirmed(std::uint64_t asOf, MilliTime now)
+TagEngine::onRoutesConfirmed(const StorePosition& asOf, MilliTime now)
 {
   this->onStoreContact();
-  this->state.routesRevision = std::max(this->state.routesRevision, asOf);
+  this->state.advanceRoutes(asOf);
   this->state.routesConfirmedAt = now;
   this->state.routesConfirmation = this->state.stampEvent(now);
   this->fleet.pushView(now);
   this->fleet.announceConfirmation(now);
 }
 
-void
-TagEngine::onStoreEra(std::uint64_t era)
+std::optional<StoreEra>
+TagEngine::onStoreEra(std::optional<StoreEra> named)
 {
-  const std::optional<std::uint64_t> before =
-    std::exchange(this->state.storeEra, era);
-  if (!before || *before == era) {
-    return;
+  if (!named) {
+    return this->state.knownEra();
+  }
+  if (*named < this->state.knownEra()) {
+    ++this->state.counters.outdatedAnswers;
+    this->state.events.push_back({ TagEventKind::storeAnswerOutdated,
+                                   {},
+                                   0,
+                                   0,
+                                   "era " + std::to_string(*named) +
+                                     " after era " +
+                                     std::to_string(this->state.knownEra()) });
+    return std::nullopt;
   }
-  ++this->state.counters.storeEraChanges;
-  this->state.events.push_back(
-    { TagEventKind::storeEra,
-      {},
-      this->state.registry.revision(),
-      0,
-      "era " + std::to_string(*before) + " to " + std::to_string(era) });
+  this->state.storeEra = named;
+  return named;
 }
 
 void
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -30,32 +30,34 @@
   SteeringDecision onHeldPacket(const CallerPacket& packet, MilliTime now);
 
   /// \brief Applies a full list of targets from the platform.
-  /// \param asOf store revision of the list
   /// \param readAt a time not later than the platform's read of the list
-  void onTargetListing(std::uint64_t asOf,
-                       std::span<const TargetChange> listed,
+  void onTargetListing(const TargetListing& listing,
                        MilliTime readAt,
                        MilliTime now);
-  /// \brief Applies the changes of targets since the last call. An empty list
+  /// \brief Applies changes of targets from the platform. An empty list
   /// confirms that the present targets are up to date.
-  /// \param asOf store revision up to which changes are included
   /// \param readAt a time not later than the platform's read of the changes
-  void onTargetChanges(std::uint64_t asOf,
-                       std::span<const TargetChange> changes,
+  /// \returns whether the changes continue from the present position; if not,
+  /// nothing was changed, and a full list is needed
+  bool onTargetChanges(const TargetDelta& delta,
                        MilliTime readAt,
                        MilliTime now);
   /// \brief Applies a route table from the platform.
-  void onRoutes(RouteTable table, MilliTime now);
+  /// \param asOf position at which it is the newest one
+  void onRoutes(RouteTable table, const StorePosition& asOf, MilliTime now);
   /// \brief Handles the platform's confirmation that the routes are current.
-  /// \param asOf store revision of the confirmation
-  void onRoutesConfirmed(std::uint64_t asOf, MilliTime now);
+  /// \param asOf position up to which all changes of the routes were passed to
+  /// onRoutes()
+  void onRoutesConfirmed(const StorePosition& asOf, MilliTime now);
   /// \brief Handles a failed request to the platform.
   /// \param cause error message for the log
   void onStoreFailure(const std::string& cause, MilliTime now);
 
-  /// \brief Handles the era that an answer of the platform's store has. A
-  /// change is logged and counted.
-  void onStoreEra(std::uint64_t era);
+  /// \brief Handles the era that an answer of the platform's store names.
+  /// \param named nothing if the answer names none
+  /// \returns the era of the answer, which is the highest known one if it names
+  /// none; nothing if a later era is known, so the answer is outdated
+  std::optional<StoreEra> onStoreEra(std::optional<StoreEra> named);
 
   /// \brief Reports an answer of the platform's store; large ones are logged.
   /// \param keys description of the keys that were read
@@ -124,6 +126,7 @@
   bool storeLost = false; ///< the last request to the platform failed
 
   void onStoreContact();
+  void onTargetsConfirmed(MilliTime readAt, MilliTime now);
 };
 
 }
--- a/buckthornwing/src/Steering/TagEvent.cpp
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -38,6 +38,8 @@
       return "store_regained";
     case TagEventKind::storeEra:
       return "store_era";
+    case TagEventKind::storeAnswerOutdated:
+      return "store_answer_outdated";
     case TagEventKind::viewServed:
       return "view_served";
     case TagEventKind::viewFetched:
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -26,11 +26,12 @@
   membersChanged, ///< many members of a zone, which is the subject, at once
   storeLost,
   storeRegained,
-  storeEra,    ///< the store has come back from an older copy of its data
-  viewServed,  ///< a member started to fetch a large update from here
-  viewFetched, ///< a large update was fetched from a member
-  storeRead,   ///< a large answer of the store was received
-  paused,      ///< the process did not run for a while
+  storeEra, ///< the store has come back from an older copy of its data
+  storeAnswerOutdated, ///< an answer of an earlier era of the store
+  viewServed,          ///< a member started to fetch a large update from here
+  viewFetched,         ///< a large update was fetched from a member
+  storeRead,           ///< a large answer of the store was received
+  paused,              ///< the process did not run for a while
 };
 
 /// \returns the stable lower-case name of an event kind in the log.
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -2,24 +2,35 @@
 
 namespace buckthornwing {
 
-void
-ViewController::onChanges(std::uint64_t asOf,
-                          std::span<const TargetChange> changes,
-                          MilliTime now)
+bool
+ViewController::onDelta(const TargetDelta& delta, MilliTime now)
 {
-  this->countUnreadable(changes);
-  const auto slots = this->board.registry.applyChanges(asOf, changes, now);
-  this->onChanged(slots, now);
+  const auto slots = this->board.registry.applyDelta(delta, now);
+  if (!slots) {
+    return false;
+  }
+  this->countUnreadable(delta.changes);
+  this->onChanged(*slots, now);
+  return true;
 }
 
 void
-ViewController::onSnapshot(std::uint64_t asOf,
-                           std::span<const TargetChange> listed,
-                           MilliTime now)
+ViewController::onListing(const TargetListing& listing, MilliTime now)
 {
-  this->countUnreadable(listed);
-  const bool isFirst = !this->board.registry.loaded();
-  const auto slots = this->board.registry.applySnapshot(asOf, listed, now);
+  this->countUnreadable(listing.listed);
+  TargetRegistry& registry = this->board.registry;
+  const bool isFirst = !registry.loaded();
+  const StorePosition before = registry.position();
+  const bool isNewEra = !isFirst && listing.asOf.era > before.era;
+  if (isNewEra) {
+    // Registrations that the store has lost are kept as after a failure.
+    registry.recordStoreFailure(now);
+    this->board.storeFailure = this->board.stampEvent(now);
+  }
+  const auto slots = registry.applyListing(listing, now);
+  if (isNewEra) {
+    this->reportEra(before, now);
+  }
   if (!isFirst) {
     this->onChanged(slots, now);
     return;
@@ -28,11 +39,35 @@
   const std::size_t eventsBefore = this->board.events.size();
   this->onChanged(slots, now);
   this->board.events.resize(eventsBefore);
-  this->board.events.push_back({ TagEventKind::registryLoaded,
-                                 {},
-                                 asOf,
-                                 0,
-                                 std::to_string(listed.size()) + " targets" });
+  this->board.events.push_back(
+    { TagEventKind::registryLoaded,
+      {},
+      listing.asOf.revision,
+      0,
+      std::to_string(listing.listed.size()) + " targets" });
+}
+
+void
+ViewController::reportEra(const StorePosition& before, MilliTime now)
+{
+  std::size_t lapsed = 0;
+  std::size_t awaiting = 0;
+  for (const KnownTarget& target : this->board.registry.targets()) {
+    const bool hasJustLapsed = target.used && target.changedAt == now &&
+                               target.presence == TargetPresence::lapsed;
+    lapsed += hasJustLapsed ? 1 : 0;
+    awaiting += target.used && target.awaitsRenewal ? 1 : 0;
+  }
+  const StorePosition after = this->board.registry.position();
+  ++this->board.counters.storeEraChanges;
+  this->board.events.push_back(
+    { TagEventKind::storeEra,
+      {},
+      after.revision,
+      0,
+      formatStorePosition(before) + " to " + formatStorePosition(after) + ", " +
+        std::to_string(lapsed) + " missing, " + std::to_string(awaiting) +
+        " await renewal" });
 }
 
 void
@@ -81,7 +116,8 @@
 void
 ViewController::tick(MilliTime now)
 {
-  const auto slots = this->board.registry.tick(now);
+  const auto slots =
+    this->board.registry.tick(this->board.targetsCompleteAt, now);
   this->onChanged(slots, now);
 }
 
@@ -116,14 +152,15 @@
     kind = TagEventKind::targetGone;
   } else if (target.presence == TargetPresence::lapsed) {
     kind = TagEventKind::targetLapsed;
-  } else if (target.record.state == TargetState::draining) {
+  } else if (target.wasDraining ||
+             target.record.state == TargetState::draining) {
     kind = TagEventKind::targetDraining;
   }
   const auto service = target.record.labels.find("service");
   const std::string note =
     service == target.record.labels.end() ? std::string() : service->second;
   this->board.events.push_back(
-    { kind, target.record.id, target.revision, 0, note });
+    { kind, target.record.id, target.version.revision, 0, note });
 }
 
 }
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -17,14 +17,12 @@
   {
   }
 
-  /// \brief Applies changes of targets up to the store revision `asOf`.
-  void onChanges(std::uint64_t asOf,
-                 std::span<const TargetChange> changes,
-                 MilliTime now);
-  /// \brief Applies the full list of targets at the store revision `asOf`.
-  void onSnapshot(std::uint64_t asOf,
-                  std::span<const TargetChange> listed,
-                  MilliTime now);
+  /// \brief Applies changes of targets.
+  /// \returns whether they continue from the present position; if not, nothing
+  /// was changed
+  bool onDelta(const TargetDelta& delta, MilliTime now);
+  /// \brief Applies the full list of targets.
+  void onListing(const TargetListing& listing, MilliTime now);
   /// \brief Applies a route table.
   /// \returns whether the table was accepted
   bool onRoutes(RouteTable table, MilliTime now);
@@ -38,6 +36,8 @@
 private:
   TagBlackboard& board;
 
+  /// \brief Logs the first list of a new era of the store.
+  void reportEra(const StorePosition& before, MilliTime now);
   void countUnreadable(std::span<const TargetChange> changes);
   void onNewRoutes(MilliTime now);
   void onChanged(std::span<const TargetSlot> slots, MilliTime now);
--- a/buckthornwing/src/View/Route.h
+++ b/buckthornwing/src/View/Route.h
@@ -67,7 +67,6 @@
 struct RouteTable
 {
   std::uint64_t version = 0;
-  std::uint64_t revision = 0; ///< store revision at which it was written
   std::vector<SelectedService> services;
   std::vector<Route> routes;
   MilliDuration idleTimeout{};
--- a/buckthornwing/src/View/RouteIndex.cpp
+++ b/buckthornwing/src/View/RouteIndex.cpp
@@ -68,7 +68,6 @@
 {
   RouteChanges changes;
   changes.version = this->table.version;
-  changes.revision = this->table.revision;
   changes.idleTimeout = this->table.idleTimeout;
   changes.services = this->table.services;
   const bool isInHistory =
@@ -101,7 +100,6 @@
   }
   RouteTable merged;
   merged.version = changes.version;
-  merged.revision = changes.revision;
   merged.idleTimeout = changes.idleTimeout;
   merged.services = changes.services;
   merged.routes = changes.routes;
--- a/buckthornwing/src/View/RouteIndex.h
+++ b/buckthornwing/src/View/RouteIndex.h
@@ -21,7 +21,6 @@
 {
   std::uint64_t base = 0; ///< version they apply to; 0: a complete table
   std::uint64_t version = 0;
-  std::uint64_t revision = 0;
   MilliDuration idleTimeout{};
   std::vector<SelectedService> services; ///< complete list
   std::vector<Route> routes;             ///< new and changed ones
--- a/buckthornwing/src/View/TargetRecord.h
+++ b/buckthornwing/src/View/TargetRecord.h
@@ -3,6 +3,7 @@
 
 #include "../Config/Configuration.h"
 #include "../Core/MilliTime.h"
+#include "StorePosition.h"
 
 #include <cstdint>
 #include <string>
@@ -41,9 +42,13 @@
 struct TargetChange
 {
   std::string id;
-  std::uint64_t revision = 0;
+  ChangeVersion version;
   ChangeKind kind = ChangeKind::gone;
   TargetRecord record; ///< only for ChangeKind::listed
+  /// Only for ChangeKind::listed: the sender knows that the target had left or
+  /// was draining before the store came back from an older copy with this
+  /// entry, see KnownTarget::awaitsRenewal.
+  bool awaitsRenewal = false;
 };
 
 }
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -58,7 +58,30 @@
   target.record = change.record;
   target.presence = TargetPresence::listed;
   target.changedAt = now;
-  target.wasDraining = change.record.state == TargetState::draining;
+  target.awaitsRenewal =
+    change.awaitsRenewal && change.record.state == TargetState::serving;
+  target.wasDraining =
+    target.awaitsRenewal || change.record.state == TargetState::draining;
+}
+
+void
+TargetRegistry::restore(KnownTarget& target,
+                        const TargetChange& change,
+                        MilliTime now)
+{
+  if (change.record.incarnation < target.record.incarnation) {
+    // The entry describes an earlier process of the target.
+    target.changedAt = now;
+    return;
+  }
+  const bool isSameProcess =
+    change.record.incarnation == target.record.incarnation;
+  const bool hadLeft = target.presence == TargetPresence::gone ||
+                       target.record.state == TargetState::draining ||
+                       target.awaitsRenewal;
+  TargetChange restored = change;
+  restored.awaitsRenewal = change.awaitsRenewal || (isSameProcess && hadLeft);
+  this->list(target, restored, now);
 }
 
 void
@@ -67,7 +90,7 @@
   if (target.presence == TargetPresence::gone) {
     return;
   }
-  const bool mayReturn = this->keepsLapsed && !target.wasDraining &&
+  const bool mayReturn = this->rules.keepsLapsed && !target.wasDraining &&
                          now < this->lastFailureAt + internal::kLapsedTimeout;
   target.presence = mayReturn ? TargetPresence::lapsed : TargetPresence::gone;
   target.changedAt = now;
@@ -75,28 +98,37 @@
 
 bool
 TargetRegistry::apply(const TargetChange& change,
+                      bool isListing,
                       MilliTime now,
                       TargetSlot& slot)
 {
   slot = this->find(change.id);
-  if (slot == kNoTargetSlot) {
+  const bool isNew = slot == kNoTargetSlot;
+  if (isNew) {
     if (change.kind != ChangeKind::listed) {
       return false;
     }
     slot = this->slotFor(change.id);
   }
   KnownTarget& target = this->known[slot];
-  if (change.revision <= target.revision) {
+  if (change.version <= target.version) {
     return false;
   }
-  target.revision = change.revision;
+  const bool isRestored =
+    isListing && !isNew && change.version.era > target.version.era;
+  target.version = change.version;
   switch (change.kind) {
     case ChangeKind::listed:
-      this->list(target, change, now);
+      if (isRestored) {
+        this->restore(target, change, now);
+      } else {
+        this->list(target, change, now);
+      }
       this->byNumber[target.record.number] = slot;
       break;
     case ChangeKind::unreadable:
       target.record.state = TargetState::draining;
+      target.awaitsRenewal = false;
       break;
     case ChangeKind::gone:
       this->remove(target, now);
@@ -105,75 +137,120 @@
   return true;
 }
 
+std::vector<TargetSlot>
+TargetRegistry::applyAll(std::span<const TargetChange> changes,
+                         bool isListing,
+                         MilliTime now)
+{
+  std::vector<TargetSlot> changed;
+  for (const TargetChange& change : changes) {
+    TargetSlot slot = kNoTargetSlot;
+    this->newestChange = std::max(this->newestChange, change.version);
+    if (this->apply(change, isListing, now, slot)) {
+      changed.push_back(slot);
+    }
+  }
+  return changed;
+}
+
 void
-TargetRegistry::advance(std::uint64_t asOf, MilliTime now)
+TargetRegistry::advance(const StorePosition& newPosition, MilliTime now)
 {
   if (!this->loaded()) {
     this->firstLoadedAt = now;
   }
-  this->asOfRevision =
-    std::max({ this->asOfRevision, asOf, this->changeRevision });
+  this->asOf = std::max(this->position(), newPosition);
 }
 
-std::vector<TargetSlot>
-TargetRegistry::applyChanges(std::uint64_t asOf,
-                             std::span<const TargetChange> changes,
-                             MilliTime now)
+std::optional<std::vector<TargetSlot>>
+TargetRegistry::applyDelta(const TargetDelta& delta, MilliTime now)
 {
-  std::vector<TargetSlot> changed;
-  for (const TargetChange& change : changes) {
-    TargetSlot slot = kNoTargetSlot;
-    this->changeRevision = std::max(this->changeRevision, change.revision);
-    if (this->apply(change, now, slot)) {
-      changed.push_back(slot);
-    }
+  const bool continues = this->loaded() && delta.base <= this->position() &&
+                         delta.base.era == this->position().era &&
+                         delta.asOf.era == this->position().era &&
+                         delta.asOf >= delta.base;
+  if (!continues) {
+    return std::nullopt;
   }
-  this->advance(asOf, now);
+  std::vector<TargetSlot> changed = this->applyAll(delta.changes, false, now);
+  this->advance(delta.asOf, now);
   return changed;
 }
 
 std::vector<TargetSlot>
-TargetRegistry::applySnapshot(std::uint64_t asOf,
-                              std::span<const TargetChange> listed,
-                              MilliTime now)
+TargetRegistry::applyListing(const TargetListing& listing, MilliTime now)
 {
-  std::vector<TargetSlot> changed = this->applyChanges(0, listed, now);
+  const bool isNewEra =
+    this->loaded() && listing.asOf.era > this->position().era;
+  const ChangeVersion listedAt{ listing.asOf.era, listing.asOf.revision };
+  std::vector<TargetSlot> changed = this->applyAll(listing.listed, true, now);
   std::set<std::string_view> ids;
-  for (const TargetChange& change : listed) {
+  for (const TargetChange& change : listing.listed) {
     ids.insert(change.id);
   }
+  bool hasRemoved = false;
   for (const auto& [id, slot] : this->byId) {
     KnownTarget& target = this->known[slot];
-    const bool hasLeft = target.presence == TargetPresence::listed &&
-                         target.revision <= asOf && !ids.contains(id);
-    if (hasLeft) {
-      target.revision = asOf;
-      this->changeRevision = std::max(this->changeRevision, asOf);
+    if (!listing.asOf.covers(target.version) || ids.contains(id)) {
+      continue;
+    }
+    if (target.presence == TargetPresence::listed) {
+      target.version = listedAt;
+      hasRemoved = true;
       this->remove(target, now);
       changed.push_back(slot);
+    } else if (target.presence == TargetPresence::lapsed && isNewEra) {
+      target.changedAt = now;
     }
   }
-  this->advance(asOf, now);
+  if (hasRemoved || isNewEra) {
+    this->newestChange = std::max(this->newestChange, listedAt);
+  }
+  this->advance(listing.asOf, now);
   return changed;
 }
 
+StorePosition
+TargetRegistry::contentPosition() const
+{
+  const StorePosition current = this->position();
+  const bool isKnown = this->newestChange.era == current.era &&
+                       this->newestChange.revision > 0 &&
+                       current.covers(this->newestChange);
+  return isKnown ? StorePosition{ current.era, this->newestChange.revision }
+                 : current;
+}
+
+bool
+TargetRegistry::tickTarget(TargetSlot slot, MilliTime completeAt, MilliTime now)
+{
+  KnownTarget& target = this->known[slot];
+  if (target.presence == TargetPresence::lapsed &&
+      now >= target.changedAt + internal::kLapsedTimeout) {
+    target.presence = TargetPresence::gone;
+    target.changedAt = now;
+    return true;
+  }
+  if (target.presence == TargetPresence::gone &&
+      now >= target.changedAt + internal::kTombstoneLifetime) {
+    this->forget(slot);
+    return true;
+  }
+  if (target.awaitsRenewal && target.presence == TargetPresence::listed &&
+      completeAt >= target.changedAt + this->rules.registrationLifetime) {
+    target.awaitsRenewal = false;
+    target.wasDraining = false;
+    return true;
+  }
+  return false;
+}
+
 std::vector<TargetSlot>
-TargetRegistry::tick(MilliTime now)
+TargetRegistry::tick(MilliTime completeAt, MilliTime now)
 {
   std::vector<TargetSlot> changed;
   for (TargetSlot slot = 0; slot < this->known.size(); ++slot) {
-    KnownTarget& target = this->known[slot];
-    if (!target.used) {
-      continue;
-    }
-    if (target.presence == TargetPresence::lapsed &&
-        now >= target.changedAt + internal::kLapsedTimeout) {
-      target.presence = TargetPresence::gone;
-      target.changedAt = now;
-      changed.push_back(slot);
-    } else if (target.presence == TargetPresence::gone &&
-               now >= target.changedAt + internal::kTombstoneLifetime) {
-      this->forget(slot);
+    if (this->known[slot].used && this->tickTarget(slot, completeAt, now)) {
       changed.push_back(slot);
     }
   }
@@ -184,7 +261,7 @@
 TargetRegistry::forget(TargetSlot slot)
 {
   KnownTarget& target = this->known[slot];
-  this->forgottenRevision = std::max(this->forgottenRevision, target.revision);
+  this->newestForgotten = std::max(this->newestForgotten, target.version);
   this->byId.erase(target.record.id);
   this->byNumber.erase(target.record.number);
   target.used = false;
@@ -192,23 +269,26 @@
 }
 
 std::vector<TargetChange>
-TargetRegistry::changesSince(std::uint64_t revision, bool& isFull) const
+TargetRegistry::changesSince(const std::optional<StorePosition>& since,
+                             bool& isFull) const
 {
-  isFull = revision == 0 || revision < this->forgottenRevision;
+  isFull = !since || since->era != this->position().era ||
+           !since->covers(this->newestForgotten);
   std::vector<TargetChange> changes;
   for (const KnownTarget& target : this->known) {
-    const bool wanted =
+    const bool isWanted =
       target.used && (isFull ? target.presence == TargetPresence::listed
-                             : target.revision > revision);
-    if (!wanted) {
+                             : !since->covers(target.version));
+    if (!isWanted) {
       continue;
     }
-    TargetChange change{
-      target.record.id, target.revision, ChangeKind::gone, {}
-    };
+    TargetChange change;
+    change.id = target.record.id;
+    change.version = target.version;
     if (target.presence == TargetPresence::listed) {
       change.kind = ChangeKind::listed;
       change.record = target.record;
+      change.awaitsRenewal = target.awaitsRenewal;
     }
     changes.push_back(std::move(change));
   }
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -4,6 +4,7 @@
 #include "TargetRecord.h"
 
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -27,46 +28,75 @@
 struct KnownTarget
 {
   TargetRecord record;
-  std::uint64_t revision = 0; ///< of its last change
+  ChangeVersion version; ///< of its last change
   TargetPresence presence = TargetPresence::gone;
   MilliTime changedAt{};    ///< last change of presence, or last listing
   bool used = false;        ///< false: the slot is free
   bool wasDraining = false; ///< it was draining when it was last listed
+  /// It had left or was draining, and the store came back from an older copy in
+  /// which it serves. It takes no new flows until its entry changes, or has
+  /// outlived the lifetime of a registration that is not renewed.
+  bool awaitsRenewal = false;
 
   /// \returns whether new flows may be assigned to it.
   bool takesNewFlows() const
   {
     return this->used && this->presence != TargetPresence::gone &&
-           this->record.state == TargetState::serving;
+           this->record.state == TargetState::serving && !this->awaitsRenewal;
   }
 };
 
-/// \brief All targets that flows may belong to, with the revision of the
-/// store's registry.
+/// \brief The changes of targets between two positions of the store's history.
+struct TargetDelta
+{
+  StorePosition base; ///< the changes continue from here
+  StorePosition asOf;
+  std::span<const TargetChange> changes;
+};
+
+/// \brief All targets of the store. It contains every change up to \a asOf, and
+/// may contain some later ones, because its pages are read one after another.
+struct TargetListing
+{
+  StorePosition asOf;
+  std::span<const TargetChange> listed;
+};
+
+/// \brief Rules for entries that vanish or that an older copy brings back.
+struct RegistryRules
+{
+  /// Entries that vanish while the store is failing are kept as lapsed. If
+  /// false, they are removed at once.
+  bool keepsLapsed = true;
+  /// Time after which the store removes an entry that its target does not
+  /// renew.
+  MilliDuration registrationLifetime{ 6000 };
+};
+
+/// \brief All targets that flows may belong to, with the position in the
+/// store's history up to which their changes have been applied.
 ///
-/// Revisions only increase: a change is ignored unless its revision is above
-/// that of the target's last change.
+/// A target's versions only increase: a change is ignored unless its version is
+/// above that of the target's last change. The position is raised only by lists
+/// that continue from it or are complete, never by the version of a change.
 class TargetRegistry
 {
 public:
-  /// \brief Applies a list of changes.
-  /// \param asOf revision up to which the list is complete
-  /// \returns the slots that changed
-  std::vector<TargetSlot> applyChanges(std::uint64_t asOf,
-                                       std::span<const TargetChange> changes,
-                                       MilliTime now);
+  void setRules(const RegistryRules& newRules) { this->rules = newRules; }
+
+  /// \brief Applies the changes since a position that this registry holds.
+  /// \returns the slots that changed; nothing, without a change, if the changes
+  /// do not continue from the position of this registry
+  std::optional<std::vector<TargetSlot>> applyDelta(const TargetDelta& delta,
+                                                    MilliTime now);
 
   /// \brief Applies a complete list. Targets that are missing from it are
-  /// removed, unless their last change is after \a asOf.
-  /// \param asOf revision of the list, from which later changes continue
+  /// removed, unless they changed after the list's position. A list of a new
+  /// era comes from an older copy of the store: what it contradicts stays as it
+  /// is until the target's entry changes.
   /// \returns the slots that changed
-  std::vector<TargetSlot> applySnapshot(std::uint64_t asOf,
-                                        std::span<const TargetChange> listed,
-                                        MilliTime now);
-
-  /// \brief Sets whether entries that vanish while the store is failing are
-  /// kept as lapsed. If not, they are removed at once.
-  void setKeepsLapsed(bool keeps) { this->keepsLapsed = keeps; }
+  std::vector<TargetSlot> applyListing(const TargetListing& listing,
+                                       MilliTime now);
 
   /// \brief Records a failure of the store. Entries that vanish shortly after
   /// it are kept as lapsed, because their servers may register again.
@@ -75,17 +105,23 @@
     this->lastFailureAt = std::max(this->lastFailureAt, at);
   }
 
-  /// \brief Removes targets that have been lapsed for too long, and deletes old
-  /// tombstones.
+  /// \brief Removes targets that have been lapsed for too long, deletes old
+  /// tombstones, and ends the wait for renewals.
+  /// \param completeAt time up to which the registry is known to be complete
   /// \returns the slots that changed
-  std::vector<TargetSlot> tick(MilliTime now);
-
-  /// \returns whether any revision of the store is known.
-  bool loaded() const { return this->asOfRevision > 0; }
-  /// \returns the revision of the store from which further changes continue.
-  std::uint64_t revision() const { return this->asOfRevision; }
-  /// \returns the revision of the newest change of any target.
-  std::uint64_t lastChange() const { return this->changeRevision; }
+  std::vector<TargetSlot> tick(MilliTime completeAt, MilliTime now);
+
+  /// \returns whether any position of the store is known.
+  bool loaded() const { return this->asOf.has_value(); }
+  /// \returns the position up to which all changes have been applied; a
+  /// position before the first change if nothing is loaded.
+  StorePosition position() const
+  {
+    return this->asOf.value_or(StorePosition{});
+  }
+  /// \returns the lowest position that is known to have the same content as
+  /// position(). Unlike that, it does not rise while the targets don't change.
+  StorePosition contentPosition() const;
   /// \returns the time of the last known failure of the store.
   MilliTime lastStoreFailure() const { return this->lastFailureAt; }
   /// \returns the time at which the first targets were loaded.
@@ -98,30 +134,41 @@
   /// \returns the target with a number, or kNoTargetSlot.
   TargetSlot findNumber(std::uint64_t number) const;
 
-  /// \returns all changes after a revision; a complete list if the revision is
-  /// 0, or if the tombstone of a later removal was deleted already.
-  /// \param isFull set to whether the list is complete
-  std::vector<TargetChange> changesSince(std::uint64_t revision,
-                                         bool& isFull) const;
+  /// \returns all changes since a position; a complete list if there is none,
+  /// if it is of another era, or if the tombstone of a later removal was
+  /// deleted already. \param isFull set to whether the list is complete
+  std::vector<TargetChange> changesSince(
+    const std::optional<StorePosition>& since,
+    bool& isFull) const;
 
 private:
   std::vector<KnownTarget> known;
   std::vector<TargetSlot> freeSlots;
   std::map<std::string, TargetSlot, std::less<>> byId;
   std::map<std::uint64_t, TargetSlot> byNumber;
-  std::uint64_t asOfRevision = 0;
-  std::uint64_t changeRevision = 0;
-  std::uint64_t forgottenRevision = 0; ///< of the newest deleted tombstone
-  bool keepsLapsed = true;
+  std::optional<StorePosition> asOf;
+  ChangeVersion newestChange;
+  ChangeVersion newestForgotten; ///< of the newest deleted tombstone
+  RegistryRules rules;
   MilliTime lastFailureAt{ -1000000 };
   MilliTime firstLoadedAt{};
 
   TargetSlot slotFor(const std::string& id);
-  void advance(std::uint64_t asOf, MilliTime now);
-  bool apply(const TargetChange& change, MilliTime now, TargetSlot& slot);
+  void advance(const StorePosition& newPosition, MilliTime now);
+  /// \param isListing whether the change is an entry of a complete list
+  bool apply(const TargetChange& change,
+             bool isListing,
+             MilliTime now,
+             TargetSlot& slot);
+  std::vector<TargetSlot> applyAll(std::span<const TargetChange> changes,
+                                   bool isListing,
+                                   MilliTime now);
   void list(KnownTarget& target, const TargetChange& change, MilliTime now);
+  /// \brief Applies a target's entry in an older copy of the store.
+  void restore(KnownTarget& target, const TargetChange& change, MilliTime now);
   void remove(KnownTarget& target, MilliTime now);
   void forget(TargetSlot slot);
+  bool tickTarget(TargetSlot slot, MilliTime completeAt, MilliTime now);
 };
 
 }
--- a/test/platform/items.cpp
+++ b/test/platform/items.cpp
@@ -159,7 +159,7 @@
 Test(items, a_registration_is_decoded)
 {
   const TargetChange change =
-    parseTarget(item("servers/i-7f3a91c2", kRegistration));
+    parseTarget(item("servers/i-7f3a91c2", kRegistration), 0);
   cr_assert(change.kind == ChangeKind::listed);
   cr_assert_eq(change.id, "i-7f3a91c2");
   cr_assert_eq(change.record.number, 0x7f3a91c2);
@@ -174,7 +174,7 @@
 {
   std::string text = kRegistration;
   text.replace(text.find(",\"born\""), std::string::npos, "}");
-  const TargetChange change = parseTarget(item("servers/i-1", text));
+  const TargetChange change = parseTarget(item("servers/i-1", text), 0);
   cr_assert(change.kind == ChangeKind::listed);
   cr_assert_eq(change.record.incarnation, 0);
 }
@@ -184,20 +184,20 @@
   const auto with = [](std::string_view from, std::string_view to) {
     std::string text = kRegistration;
     text.replace(text.find(from), from.size(), to);
-    return parseTarget(item("servers/i-1", text)).kind;
+    return parseTarget(item("servers/i-1", text), 0).kind;
   };
   cr_assert(with("\"ready\"", "\"resting\"") == ChangeKind::unreadable);
   cr_assert(with("\"ready\"", "7") == ChangeKind::unreadable);
   cr_assert(with("10.128.0.9:8080", "example.org:80") ==
             ChangeKind::unreadable);
   cr_assert(with("\"service\":\"huvo11a\",", "") == ChangeKind::unreadable);
-  cr_assert(parseTarget(item("servers/i-1", "\xff\xfe")).kind ==
+  cr_assert(parseTarget(item("servers/i-1", "\xff\xfe"), 0).kind ==
             ChangeKind::unreadable);
-  cr_assert(parseTarget(item("servers/i-1", "[]")).kind ==
+  cr_assert(parseTarget(item("servers/i-1", "[]"), 0).kind ==
             ChangeKind::unreadable);
-  cr_assert(parseTarget(item("servers/i-xyz", kRegistration)).kind ==
+  cr_assert(parseTarget(item("servers/i-xyz", kRegistration), 0).kind ==
             ChangeKind::unreadable);
-  cr_assert(parseTarget(item("servers/i-0", kRegistration)).kind ==
+  cr_assert(parseTarget(item("servers/i-0", kRegistration), 0).kind ==
               ChangeKind::unreadable,
             "the fabric delivers number 0 to any target at the address");
 }
@@ -254,5 +254,5 @@
 {
   const auto response = parseStoreResponse(
     R"({"items":[{"key":"servers/i-1","value":"%%%","revision":2}],"as_of":2})");
-  cr_assert(parseTarget(response->items[0]).kind == ChangeKind::unreadable);
+  cr_assert(parseTarget(response->items[0], 0).kind == ChangeKind::unreadable);
 }
--- a/test/tag/FleetWorld.h
+++ b/test/tag/FleetWorld.h
@@ -77,8 +77,8 @@
     for (std::uint64_t i = 1; i <= 6; ++i) {
       changes.push_back(listed(i, i, "booking", i % 2 == 0 ? "a" : "b"));
     }
-    this->at(address).onTargetListing(6, changes, this->now, this->now);
-    this->at(address).onRoutes(twoRoutes(version), this->now);
+    listTargets(this->at(address), 6, changes, this->now);
+    publishRoutes(this->at(address), twoRoutes(version), this->now);
   }
 
   void deliver()
@@ -121,8 +121,7 @@
     std::size_t count = 0;
     for (auto& [address, engine] : this->engines) {
       if (!this->disconnected[address] && engine->shouldReadStore(this->now)) {
-        engine->onTargetChanges(6, {}, this->now, this->now);
-        engine->onRoutesConfirmed(1, this->now);
+        confirmView(*engine, this->now);
         ++count;
       }
     }
--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -119,8 +119,8 @@
       changes.back().record.slots =
         static_cast<std::uint32_t>(this->pattern.slots);
     }
-    engine->onRoutes(twoRoutes(1), this->now);
-    engine->onTargetListing(100, changes, this->now, this->now);
+    publishRoutes(*engine, twoRoutes(1), this->now);
+    listTargets(*engine, 100, changes, this->now);
     return engine;
   }
 
@@ -177,8 +177,7 @@
     this->after(kTagTickPeriod, [this] { this->tickEngines(); });
     for (auto& engine : this->engines) {
       if (engine != nullptr) {
-        engine->onTargetChanges(100, {}, this->now, this->now);
-        engine->onRoutesConfirmed(1, this->now);
+        confirmView(*engine, this->now);
         engine->tick(this->now);
       }
     }
--- a/test/tag/OwnLinkWorld.h
+++ b/test/tag/OwnLinkWorld.h
@@ -43,9 +43,8 @@
       targets.push_back(listed(number, number));
     }
     TagEngine& engine = *this->fleet.at(0).engine;
-    engine.onRoutes(manyRoutes(1, kRoutes), this->events.now);
-    engine.onTargetListing(
-      targetCount, targets, this->events.now, this->events.now);
+    publishRoutes(engine, manyRoutes(1, kRoutes), this->events.now);
+    listTargets(engine, targetCount, targets, this->events.now);
     this->confirm();
   }
 
@@ -123,10 +122,8 @@
   /// neglected.
   void confirm()
   {
-    this->fleet.input(0, [this](TagEngine& engine) {
-      engine.onTargetChanges(0, {}, this->events.now, this->events.now);
-      engine.onRoutesConfirmed(0, this->events.now);
-    });
+    this->fleet.input(
+      0, [this](TagEngine& engine) { confirmView(engine, this->events.now); });
     this->events.after(500_ms, [this] { this->confirm(); });
   }
 
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -4,6 +4,8 @@
 #include <Fleet>
 #include <Steering>
 
+#include <criterion/criterion.h>
+
 #include <string>
 #include <vector>
 
@@ -16,7 +18,6 @@
 {
   RouteTable table;
   table.version = version;
-  table.revision = version;
   for (const char* name : { "booking", "sheets" }) {
     SelectedService service;
     service.name = name;
@@ -67,7 +68,7 @@
 {
   TargetChange change;
   change.id = "t-" + std::to_string(number);
-  change.revision = revision;
+  change.version = { 0, revision };
   change.kind = ChangeKind::listed;
   change.record.id = change.id;
   change.record.number = number;
@@ -86,7 +87,7 @@
 {
   TargetChange change;
   change.id = "t-" + std::to_string(number);
-  change.revision = revision;
+  change.version = { 0, revision };
   return change;
 }
 
@@ -131,6 +132,54 @@
   return packet;
 }
 
+/// \returns a position in the store's history.
+constexpr StorePosition
+positionAt(std::uint64_t revision, StoreEra era = 0)
+{
+  return { era, revision };
+}
+
+/// \brief Passes a full list of targets to an engine.
+inline void
+listTargets(TagEngine& engine,
+            std::uint64_t asOf,
+            std::span<const TargetChange> listed,
+            MilliTime now)
+{
+  engine.onTargetListing({ positionAt(asOf), listed }, now, now);
+}
+
+/// \brief Passes changes of targets to an engine, which continue from its
+/// present position.
+inline void
+changeTargets(TagEngine& engine,
+              std::uint64_t asOf,
+              std::span<const TargetChange> changes,
+              MilliTime now)
+{
+  const StorePosition base = engine.board().registry.position();
+  cr_assert(engine.onTargetChanges(
+    { base, positionAt(asOf, base.era), changes }, now, now));
+}
+
+/// \brief Passes a configuration to an engine. Its version is also the revision
+/// at which it was written.
+inline void
+publishRoutes(TagEngine& engine, RouteTable table, MilliTime now)
+{
+  const StorePosition asOf = positionAt(table.version);
+  engine.onRoutes(std::move(table), asOf, now);
+}
+
+/// \brief Lets the store confirm the present targets and routes of an engine.
+inline void
+confirmView(TagEngine& engine, MilliTime now)
+{
+  const StorePosition position = engine.board().registry.position();
+  engine.onTargetChanges({ position, position, {} }, now, now);
+  engine.onRoutesConfirmed(position, now);
+}
+
 /// \brief One engine with a loaded view and a clock that the test advances.
 struct EngineFixture
 {
@@ -148,8 +197,8 @@
       changes.push_back(listed(i, i));
     }
     changes.push_back(listed(100, 100, "sheets"));
-    this->engine.onRoutes(twoRoutes(1), this->now);
-    this->engine.onTargetListing(100, changes, this->now, this->now);
+    publishRoutes(this->engine, twoRoutes(1), this->now);
+    listTargets(this->engine, 100, changes, this->now);
   }
 
   static TagSettings settings(TagPolicySettings policy,
@@ -189,8 +238,7 @@
     while (this->now < end) {
       this->now = this->now + kTagTickPeriod;
       if (confirmed) {
-        this->engine.onTargetChanges(0, {}, this->now, this->now);
-        this->engine.onRoutesConfirmed(0, this->now);
+        confirmView(this->engine, this->now);
       }
       this->engine.tick(this->now);
     }
--- a/test/tag/cold_start.cpp
+++ b/test/tag/cold_start.cpp
@@ -200,9 +200,9 @@
       return;
     }
     instance.leftToRead = 0;
-    instance.engine->onTargetListing(
-      kTargets, this->targets, this->now, this->now);
-    instance.engine->onRoutes(manyRoutes(this->version, kRoutes), this->now);
+    listTargets(*instance.engine, kTargets, this->targets, this->now);
+    publishRoutes(
+      *instance.engine, manyRoutes(this->version, kRoutes), this->now);
   }
 
   void tick(StartingInstance& instance)
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -23,11 +23,10 @@
   cr_assert_eq(world.at(away).board().routes.version(), 5);
   cr_assert(world.at(away).ready());
   world.at(away).onStoreFailure("status 503", world.now);
-  world.at(reader).onRoutes(twoRoutes(9), world.now);
+  publishRoutes(world.at(reader), twoRoutes(9), world.now);
   const TargetChange drained =
     listed(2, 20, "booking", "a", TargetState::draining);
-  world.at(reader).onTargetChanges(
-    20, std::span(&drained, 1), world.now, world.now);
+  changeTargets(world.at(reader), 20, std::span(&drained, 1), world.now);
   world.run(500_ms);
   cr_assert_eq(world.at(away).board().routes.version(), 9);
   const TargetRegistry& registry = world.at(away).board().registry;
@@ -47,7 +46,7 @@
   world.run(3_s);
   for (const auto& [address, engine] : world.engines) {
     cr_assert_eq(engine->board().routes.version(), 5);
-    cr_assert_eq(engine->board().registry.lastChange(), 6);
+    cr_assert_eq(engine->board().registry.contentPosition().revision, 6);
   }
 }
 
@@ -72,7 +71,7 @@
   }
   RouteTable changed = twoRoutes(6);
   changed.routes[0].timeout = 9_s;
-  world.at(reader).onRoutes(changed, world.now);
+  publishRoutes(world.at(reader), changed, world.now);
   std::size_t parts = 0;
   for (const OutgoingFleetMessage& outgoing : world.at(reader).takeOutgoing()) {
     parts += std::holds_alternative<ViewPart>(outgoing.message.body) ? 1 : 0;
@@ -219,8 +218,8 @@
     message.body = part;
     world.at(first).onFleetMessage(message, world.now);
   }
-  cr_assert_eq(world.at(first).board().registry.lastChange(), 6);
-  cr_assert_eq(world.at(first).board().registry.revision(), 6);
+  cr_assert_eq(world.at(first).board().registry.contentPosition().revision, 6);
+  cr_assert_eq(world.at(first).board().registry.position().revision, 6);
 }
 
 /// Guards against updates that are sent without flow control: a table of 2,100
@@ -237,15 +236,14 @@
   }
   world.load(reader, 5);
   world.run(8_s);
-  world.at(reader).onRoutes(manyRoutes(22, 1848), world.now);
+  publishRoutes(world.at(reader), manyRoutes(22, 1848), world.now);
   const TargetChange drained =
     listed(2, 20, "booking", "a", TargetState::draining);
-  world.at(reader).onTargetChanges(
-    20, std::span(&drained, 1), world.now, world.now);
+  changeTargets(world.at(reader), 20, std::span(&drained, 1), world.now);
   // A draining target is known within a second, however large the routes are.
   world.run(1_s);
   for (const auto& [address, engine] : world.engines) {
-    cr_assert_eq(engine->board().registry.lastChange(), 20);
+    cr_assert_eq(engine->board().registry.contentPosition().revision, 20);
   }
   world.run(2_s);
   for (const auto& [address, engine] : world.engines) {
--- a/test/tag/health.cpp
+++ b/test/tag/health.cpp
@@ -175,7 +175,7 @@
 {
   EngineFixture world(1);
   const TargetChange far = listed(7, 107, "booking", "b");
-  world.engine.onTargetChanges(107, std::span(&far, 1), world.now, world.now);
+  changeTargets(world.engine, 107, std::span(&far, 1), world.now);
   const auto placed = world.open(flowOf(1));
   const TargetSlot alive = world.engine.board().registry.find("t-7");
   sendWithRetransmission(world, flowOf(1), placed.tag);
@@ -198,7 +198,7 @@
 {
   EngineFixture world(1);
   const TargetChange left = gone(100, 101);
-  world.engine.onTargetChanges(101, std::span(&left, 1), world.now, world.now);
+  changeTargets(world.engine, 101, std::span(&left, 1), world.now);
   const auto placed = world.open(flowOf(1));
   sendWithRetransmission(world, flowOf(1), placed.tag);
   for (int round = 0; round < 10; ++round) {
@@ -307,7 +307,7 @@
   const auto packet = flowPacket(flow, placed.tag, 1000, 1, 100);
   cr_assert(world.send(packet).outcome == SteeringOutcome::forward);
   const TargetChange end = gone(100, 300);
-  world.engine.onTargetChanges(300, std::span(&end, 1), world.now, world.now);
+  changeTargets(world.engine, 300, std::span(&end, 1), world.now);
   const auto decision = world.send(packet);
   cr_assert(decision.outcome == SteeringOutcome::reset);
   cr_assert(decision.reason == SteeringReason::targetGone);
@@ -328,7 +328,7 @@
   cr_assert(world.engine.takeFlowsToReset().empty());
   world.run(3_s);
   const TargetChange left = gone(100, 101);
-  world.engine.onTargetChanges(101, std::span(&left, 1), world.now, world.now);
+  changeTargets(world.engine, 101, std::span(&left, 1), world.now);
   world.run(20_ms);
   cr_assert_eq(world.engine.takeFlowsToReset().size(), 1);
   world.run(100_ms);
@@ -401,7 +401,7 @@
   const std::uint64_t number =
     world.engine.board().registry.at(placed.target).record.number;
   const TargetChange end = gone(number, 300);
-  world.engine.onTargetChanges(300, std::span(&end, 1), world.now, world.now);
+  changeTargets(world.engine, 300, std::span(&end, 1), world.now);
   const auto packet = flowPacket(flowOf(1), placed.tag, 1000, 1, 100);
   cr_assert(world.send(packet).outcome == SteeringOutcome::forward);
   reportProbes(world, ProbeResult::otherTarget);
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -32,7 +32,7 @@
   const std::vector<TargetChange> targets{
     listed(1, 1), listed(2, 2), listed(3, 3), listed(4, 4)
   };
-  fresh.onTargetListing(100, targets, now, now);
+  listTargets(fresh, 100, targets, now);
   cr_assert_not(fresh.ready());
   const auto onTag =
     fresh.onPacket(flowPacket(flowOf(1), placed.tag, 1001, 1), now);
@@ -83,8 +83,7 @@
     world.engine.board().registry.at(placed.target).record.number;
   const TargetChange drained =
     listed(number, 200, "booking", "a", TargetState::draining);
-  world.engine.onTargetChanges(
-    200, std::span(&drained, 1), world.now, world.now);
+  changeTargets(world.engine, 200, std::span(&drained, 1), world.now);
   const auto decision =
     world.send(flowPacket(flowOf(1), placed.tag, 1000, 1, 100));
   cr_assert(decision.outcome == SteeringOutcome::forward);
@@ -103,7 +102,7 @@
   const auto placed = world.open(flowOf(1));
   RouteTable moved = twoRoutes(2);
   moved.routes[0].services = { { 1, 1 } };
-  world.engine.onRoutes(moved, world.now);
+  publishRoutes(world.engine, moved, world.now);
   const auto decision =
     world.send(flowPacket(flowOf(1), placed.tag, 1000, 1, 100));
   cr_assert(decision.outcome == SteeringOutcome::forward);
@@ -117,7 +116,7 @@
   const auto placed = world.open(flowOf(1));
   RouteTable fewer = twoRoutes(2);
   fewer.routes.erase(fewer.routes.begin());
-  world.engine.onRoutes(fewer, world.now);
+  publishRoutes(world.engine, fewer, world.now);
   const auto decision =
     world.send(flowPacket(flowOf(1), placed.tag, 1000, 1, 100));
   cr_assert(decision.outcome == SteeringOutcome::reset);
@@ -203,15 +202,14 @@
   EngineFixture world;
   RouteTable table = twoRoutes(2);
   table.routes[0].kind = RouteKind::nonIdempotent;
-  world.engine.onRoutes(table, world.now);
+  publishRoutes(world.engine, table, world.now);
   const auto packet =
     flowPacket(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
   world.now = world.now + 10_ms;
   world.send(packet);
   world.run(2_s);
   cr_assert(world.send(packet).outcome == SteeringOutcome::hold);
-  world.engine.onTargetChanges(
-    101, std::vector{ listed(50, 101) }, world.now, world.now);
+  changeTargets(world.engine, 101, std::vector{ listed(50, 101) }, world.now);
   world.run(600_ms);
   cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
 }
@@ -262,7 +260,7 @@
   EngineFixture world(3);
   RouteTable split = twoRoutes(2);
   split.routes[0].services = { { 0, 90 }, { 1, 10 } };
-  world.engine.onRoutes(split, world.now);
+  publishRoutes(world.engine, split, world.now);
   int toSheets = 0;
   constexpr int kFlows = 20000;
   for (unsigned i = 0; i < kFlows; ++i) {
@@ -279,9 +277,9 @@
   EngineFixture world(2);
   const std::vector<TargetChange> far{ listed(50, 150, "booking", "b"),
                                        listed(51, 151, "booking", "b") };
-  world.engine.onTargetChanges(151, far, world.now, world.now);
+  changeTargets(world.engine, 151, far, world.now);
   const std::vector<TargetChange> ended{ gone(1, 200), gone(2, 201) };
-  world.engine.onTargetChanges(201, ended, world.now, world.now);
+  changeTargets(world.engine, 201, ended, world.now);
   const auto decision = world.send(opening(flowOf(99)));
   cr_assert(decision.outcome == SteeringOutcome::forward);
 }
@@ -333,8 +331,8 @@
   const MilliTime now{ 100000 };
   const std::vector<TargetChange> targets{ listed(1, 1),
                                            listed(2, 2, "booking", "b") };
-  engine.onRoutes(twoRoutes(1), now);
-  engine.onTargetListing(100, targets, now, now);
+  publishRoutes(engine, twoRoutes(1), now);
+  listTargets(engine, 100, targets, now);
   const auto zoneOf = [&](const SteeringDecision& decision) {
     return engine.board().registry.at(decision.target).record.zone;
   };
@@ -368,8 +366,8 @@
   MilliTime now{ 100000 };
   const std::vector<TargetChange> targets{ listed(1, 1),
                                            listed(2, 2, "booking", "b") };
-  engine.onRoutes(twoRoutes(1), now);
-  engine.onTargetListing(100, targets, now, now);
+  publishRoutes(engine, twoRoutes(1), now);
+  listTargets(engine, 100, targets, now);
   const TargetSlot far = engine.board().registry.findNumber(2);
   unsigned client = 0;
   while (engine.onPacket(opening(flowOf(client)), now).target != far) {
@@ -408,7 +406,7 @@
 {
   EngineFixture ahead(4, {}, "entry-1");
   EngineFixture behind(4, {}, "entry-2");
-  ahead.engine.onRoutes(threeRoutes(2), ahead.now);
+  publishRoutes(ahead.engine, threeRoutes(2), ahead.now);
   const FlowKey flow = flowOf(1, "203.0.113.9:443");
   const auto placed = ahead.open(flow);
   cr_assert(placed.outcome == SteeringOutcome::forward);
@@ -416,7 +414,7 @@
   cr_assert(behind.send(packet).outcome == SteeringOutcome::hold);
   behind.run(900_ms);
   cr_assert(behind.send(packet).outcome == SteeringOutcome::hold);
-  behind.engine.onRoutes(threeRoutes(2), behind.now);
+  publishRoutes(behind.engine, threeRoutes(2), behind.now);
   cr_assert(behind.send(packet).outcome == SteeringOutcome::forward);
 }
 
@@ -424,11 +422,11 @@
 {
   EngineFixture before(4, {}, "entry-1");
   EngineFixture started(4, {}, "entry-2");
-  before.engine.onRoutes(threeRoutes(2), before.now);
+  publishRoutes(before.engine, threeRoutes(2), before.now);
   const FlowKey flow = flowOf(1, "203.0.113.9:443");
   const auto placed = before.open(flow);
   const auto packet = flowPacket(flow, placed.tag, 1000, 1, 100);
-  before.engine.onRoutes(twoRoutes(3), before.now);
+  publishRoutes(before.engine, twoRoutes(3), before.now);
   cr_assert(before.send(packet).outcome == SteeringOutcome::reset);
   // An instance that never had the route resets once its routes are confirmed.
   cr_assert(started.send(packet).outcome == SteeringOutcome::hold);
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -11,27 +11,45 @@
 using namespace buckthornwing::literals;
 using namespace buckthornwing::test;
 
+namespace {
+
+/// \brief Applies the changes from the start of the store's history.
+std::vector<TargetSlot>
+applyUpTo(TargetRegistry& registry,
+          std::uint64_t asOf,
+          std::span<const TargetChange> changes,
+          MilliTime now)
+{
+  if (!registry.loaded()) {
+    registry.applyListing({ positionAt(0), {} }, now);
+  }
+  return registry.applyDelta({ positionAt(0), positionAt(asOf), changes }, now)
+    .value();
+}
+
+}
+
 Test(registry, an_older_revision_is_ignored)
 {
   TargetRegistry registry;
   const TargetChange newer =
     listed(1, 9, "booking", "a", TargetState::draining);
   const TargetChange older = listed(1, 5);
-  registry.applyChanges(9, std::span(&newer, 1), MilliTime{ 1 });
+  applyUpTo(registry, 9, std::span(&newer, 1), MilliTime{ 1 });
   cr_assert(
-    registry.applyChanges(5, std::span(&older, 1), MilliTime{ 2 }).empty());
+    applyUpTo(registry, 5, std::span(&older, 1), MilliTime{ 2 }).empty());
   cr_assert(registry.at(registry.find("t-1")).record.state ==
             TargetState::draining);
-  cr_assert_eq(registry.revision(), 9);
+  cr_assert(registry.position() == positionAt(9));
 }
 
 Test(registry, a_listing_removes_targets_that_it_lacks)
 {
   TargetRegistry registry;
   const std::vector<TargetChange> both{ listed(1, 1), listed(2, 2) };
-  registry.applySnapshot(2, both, MilliTime{ 1 });
+  registry.applyListing({ positionAt(2), both }, MilliTime{ 1 });
   const std::vector<TargetChange> one{ listed(1, 1) };
-  registry.applySnapshot(5, one, MilliTime{ 2 });
+  registry.applyListing({ positionAt(5), one }, MilliTime{ 2 });
   cr_assert(registry.at(registry.find("t-2")).presence == TargetPresence::gone);
   cr_assert(registry.at(registry.find("t-1")).takesNewFlows());
 }
@@ -40,9 +58,9 @@
 {
   TargetRegistry registry;
   const TargetChange late = listed(2, 8);
-  registry.applyChanges(8, std::span(&late, 1), MilliTime{ 1 });
+  applyUpTo(registry, 8, std::span(&late, 1), MilliTime{ 1 });
   const std::vector<TargetChange> stale{ listed(1, 1) };
-  registry.applySnapshot(5, stale, MilliTime{ 2 });
+  registry.applyListing({ positionAt(5), stale }, MilliTime{ 2 });
   cr_assert(registry.at(registry.find("t-2")).takesNewFlows());
 }
 
@@ -50,16 +68,16 @@
 {
   TargetRegistry registry;
   const TargetChange first = listed(1, 1);
-  registry.applyChanges(1, std::span(&first, 1), MilliTime{ 0 });
+  applyUpTo(registry, 1, std::span(&first, 1), MilliTime{ 0 });
   registry.recordStoreFailure(MilliTime{ 10000 });
   const TargetChange end = gone(1, 2);
-  registry.applyChanges(2, std::span(&end, 1), MilliTime{ 10500 });
+  applyUpTo(registry, 2, std::span(&end, 1), MilliTime{ 10500 });
   const KnownTarget& target = registry.at(registry.find("t-1"));
   cr_assert(target.presence == TargetPresence::lapsed);
   cr_assert(target.takesNewFlows());
-  registry.tick(MilliTime{ 12400 });
+  registry.tick(MilliTime{ 12400 }, MilliTime{ 12400 });
   cr_assert(target.presence == TargetPresence::lapsed);
-  registry.tick(MilliTime{ 12900 });
+  registry.tick(MilliTime{ 12900 }, MilliTime{ 12900 });
   cr_assert(target.presence == TargetPresence::gone);
 }
 
@@ -69,10 +87,10 @@
   const std::vector<TargetChange> changes{
     listed(1, 1), listed(1, 2, "booking", "a", TargetState::draining)
   };
-  registry.applyChanges(2, changes, MilliTime{ 0 });
+  applyUpTo(registry, 2, changes, MilliTime{ 0 });
   registry.recordStoreFailure(MilliTime{ 100 });
   const TargetChange end = gone(1, 3);
-  registry.applyChanges(3, std::span(&end, 1), MilliTime{ 200 });
+  applyUpTo(registry, 3, std::span(&end, 1), MilliTime{ 200 });
   cr_assert(registry.at(registry.find("t-1")).presence == TargetPresence::gone);
 }
 
@@ -82,12 +100,12 @@
   std::vector<TargetChange> changes{ listed(1, 1), listed(2, 2) };
   TargetChange unreadable;
   unreadable.id = "t-1";
-  unreadable.revision = 3;
+  unreadable.version = { 0, 3 };
   unreadable.kind = ChangeKind::unreadable;
   changes.push_back(unreadable);
   unreadable.id = "never-seen";
   changes.push_back(unreadable);
-  registry.applyChanges(3, changes, MilliTime{ 1 });
+  applyUpTo(registry, 3, changes, MilliTime{ 1 });
   cr_assert_not(registry.at(registry.find("t-1")).takesNewFlows());
   cr_assert(registry.at(registry.find("t-1")).presence ==
             TargetPresence::listed);
@@ -101,7 +119,7 @@
   const std::vector<TargetChange> changes{
     listed(1, 1, "booking", "a", TargetState::draining), listed(1, 2)
   };
-  registry.applyChanges(2, changes, MilliTime{ 1 });
+  applyUpTo(registry, 2, changes, MilliTime{ 1 });
   cr_assert(registry.at(registry.find("t-1")).takesNewFlows());
 }
 
@@ -111,14 +129,14 @@
   const std::vector<TargetChange> changes{ listed(1, 1),
                                            listed(2, 2),
                                            gone(1, 3) };
-  registry.applyChanges(3, changes, MilliTime{ 0 });
+  applyUpTo(registry, 3, changes, MilliTime{ 0 });
   bool isFull = true;
-  const auto some = registry.changesSince(2, isFull);
+  const auto some = registry.changesSince(positionAt(2), isFull);
   cr_assert_not(isFull);
   cr_assert_eq(some.size(), 1);
   cr_assert(some[0].kind == ChangeKind::gone);
-  registry.tick(MilliTime{ 200000 });
-  const auto all = registry.changesSince(2, isFull);
+  registry.tick(MilliTime{ 200000 }, MilliTime{ 200000 });
+  const auto all = registry.changesSince(positionAt(2), isFull);
   cr_assert(isFull, "the end of t-1 is forgotten");
   cr_assert_eq(all.size(), 1);
   cr_assert_eq(all[0].id, "t-2");
@@ -128,9 +146,9 @@
 {
   TargetRegistry registry;
   const std::vector<TargetChange> changes{ listed(1, 1), gone(1, 2) };
-  registry.applyChanges(2, changes, MilliTime{ 0 });
+  applyUpTo(registry, 2, changes, MilliTime{ 0 });
   const TargetChange other = listed(2, 3);
-  registry.applyChanges(3, std::span(&other, 1), MilliTime{ 60000 });
+  applyUpTo(registry, 3, std::span(&other, 1), MilliTime{ 60000 });
   cr_assert_neq(registry.find("t-1"), registry.find("t-2"));
   cr_assert_neq(registry.find("t-1"), kNoTargetSlot);
 }
@@ -245,7 +263,7 @@
   }
   TargetRegistry registry;
   const std::vector<TargetChange> both{ listed(first, 1), listed(second, 2) };
-  registry.applyChanges(2, both, MilliTime{ 1 });
+  applyUpTo(registry, 2, both, MilliTime{ 1 });
   TagIndex index(scheme);
   index.rebuild(registry);
   int ambiguous = 0;
@@ -272,11 +290,11 @@
     targets.push_back(listed(i, i));
   }
   const MilliTime now{ 100000 };
-  engine.onTargetListing(600, targets, now, now);
+  listTargets(engine, 600, targets, now);
   const auto events = engine.takeEvents();
   cr_assert_eq(events.size(), 1);
   cr_assert(events[0].kind == TagEventKind::registryLoaded);
   const TargetChange left = gone(1, 700);
-  engine.onTargetChanges(700, std::span(&left, 1), now, now);
+  changeTargets(engine, 700, std::span(&left, 1), now);
   cr_assert_eq(engine.takeEvents().size(), 1);
 }
