--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -152,6 +152,10 @@
                 "counter",
                 "Entries of the registry that are no target",
                 board.counters.unreadableEntries);
+  writer.single("registry_number_conflicts_total",
+                "counter",
+                "Entries of the registry with the number of another target",
+                board.registry.numberConflicts());
   writer.single("store_era_changes_total",
                 "counter",
                 "Times that the store came back from an older copy",
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -96,6 +96,13 @@
   target.changedAt = now;
 }
 
+bool
+TargetRegistry::isNumberTaken(const TargetChange& change) const
+{
+  const TargetSlot holder = this->findNumber(change.record.number);
+  return holder != kNoTargetSlot && this->known[holder].record.id != change.id;
+}
+
 bool
 TargetRegistry::apply(const TargetChange& change,
                       bool isListing,
@@ -108,6 +115,10 @@
     if (change.kind != ChangeKind::listed) {
       return false;
     }
+    if (this->isNumberTaken(change)) {
+      ++this->conflicts;
+      return false;
+    }
     slot = this->slotFor(change.id);
   }
   KnownTarget& target = this->known[slot];
@@ -263,7 +274,10 @@
   KnownTarget& target = this->known[slot];
   this->newestForgotten = std::max(this->newestForgotten, target.version);
   this->byId.erase(target.record.id);
-  this->byNumber.erase(target.record.number);
+  const auto numbered = this->byNumber.find(target.record.number);
+  if (numbered != this->byNumber.end() && numbered->second == slot) {
+    this->byNumber.erase(numbered);
+  }
   target.used = false;
   this->freeSlots.push_back(slot);
 }
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -76,6 +76,9 @@
 /// \brief All targets that flows may belong to, with the position in the
 /// store's history up to which their changes have been applied.
 ///
+/// A number belongs to the first target that has it: packets carry it, so a
+/// second one would take over the first one's flows.
+///
 /// A target's versions only increase: a change is ignored unless its version is
 /// above that of the target's last change. The position is raised only by lists
 /// that continue from it or are complete, never by the version of a change.
@@ -122,6 +125,9 @@
   /// \returns the lowest position that is known to have the same content as
   /// position(). Unlike that, it does not rise while the targets don't change.
   StorePosition contentPosition() const;
+  /// \returns the number of entries that were ignored because another target
+  /// has their number.
+  std::uint64_t numberConflicts() const { return this->conflicts; }
   /// \returns the time of the last known failure of the store.
   MilliTime lastStoreFailure() const { return this->lastFailureAt; }
   /// \returns the time at which the first targets were loaded.
@@ -149,11 +155,14 @@
   std::optional<StorePosition> asOf;
   ChangeVersion newestChange;
   ChangeVersion newestForgotten; ///< of the newest deleted tombstone
+  std::uint64_t conflicts = 0;
   RegistryRules rules;
   MilliTime lastFailureAt{ -1000000 };
   MilliTime firstLoadedAt{};
 
   TargetSlot slotFor(const std::string& id);
+  /// \returns whether another target has the number of a listed entry.
+  bool isNumberTaken(const TargetChange& change) const;
   void advance(const StorePosition& newPosition, MilliTime now);
   /// \param isListing whether the change is an entry of a complete list
   bool apply(const TargetChange& change,
--- a/test/platform/Loopback.h
+++ b/test/platform/Loopback.h
@@ -87,7 +87,8 @@
     const std::string address = formatEndpoint(this->target.localEndpoint());
     this->store.put("servers/" + id,
                     R"({"service":"booking","address":")" + address +
-                      R"(","zone":"a","slots":3,"state":")" + state + R"("})");
+                      R"(","zone":"a","version":"v1","slots":3,"state":")" +
+                      state + R"(","warmup_left_ms":0,"seq":1})");
   }
 
   /// \brief Starts a daemon that connects to the store directly.
--- a/test/platform/items.cpp
+++ b/test/platform/items.cpp
@@ -40,7 +40,7 @@
 StoreItem
 item(const std::string& key, const std::string& value)
 {
-  return { key, value, 9, false };
+  return { key, value, 9, 9, false };
 }
 
 const std::string kRegistration =
@@ -191,6 +191,38 @@
   cr_assert(with("10.128.0.9:8080", "example.org:80") ==
             ChangeKind::unreadable);
   cr_assert(with("\"service\":\"huvo11a\",", "") == ChangeKind::unreadable);
+  for (const char* field : { "\"version\":\"v1\",",
+                             "\"slots\":3,",
+                             "\"warmup_left_ms\":700,",
+                             "\"seq\":4," }) {
+    cr_assert(with(field, "") == ChangeKind::unreadable, "without %s", field);
+  }
+  for (const char* port : { ":0", ":65536", ":-1", ":1e3", ":", "" }) {
+    cr_assert(with(":8080", port) == ChangeKind::unreadable, "port %s", port);
+  }
+  for (const char* number : { "1e999",
+                              "18446744073709551616",
+                              "-1",
+                              "3.5",
+                              "\"3\"",
+                              "null",
+                              "[3]" }) {
+    cr_assert(with("\"slots\":3", "\"slots\":" + std::string(number)) ==
+                ChangeKind::unreadable,
+              "slots %s",
+              number);
+    cr_assert(with("1784156503021", number) == ChangeKind::unreadable,
+              "born %s",
+              number);
+  }
+  cr_assert(with("\"seq\":4", "\"seq\":\"4\"") == ChangeKind::unreadable);
+  cr_assert(with("\"warmup_left_ms\":700", "\"warmup_left_ms\":{}") ==
+            ChangeKind::unreadable);
+  cr_assert(with("v1", std::string(600000, 'v')) == ChangeKind::unreadable);
+  const std::string nested(100000, '[');
+  cr_assert(with("\"v1\"", nested) == ChangeKind::unreadable);
+  cr_assert(with("\"v1\"", nested + std::string(100000, ']')) ==
+            ChangeKind::unreadable);
   cr_assert(parseTarget(item("servers/i-1", "\xff\xfe"), 0).kind ==
             ChangeKind::unreadable);
   cr_assert(parseTarget(item("servers/i-1", "[]"), 0).kind ==
--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -352,3 +352,58 @@
   cr_assert_not(registry.at(registry.find("t-4")).takesNewFlows());
   cr_assert(registry.position() == positionAt(9, 2));
 }
+
+/// Guards against a herd: a store that comes back from a copy must not be
+/// listed by each instance of the fleet.
+Test(store_eras, one_listing_of_a_new_era_serves_the_fleet)
+{
+  constexpr std::uint64_t kTargets = 600;
+  FleetWorld world;
+  world.delay = 5_ms;
+  world.addInThreeZones(150);
+  std::vector<TargetChange> targets;
+  for (std::uint64_t i = 1; i <= kTargets; ++i) {
+    targets.push_back(listed(i, i));
+  }
+  const Endpoint first = FleetWorld::addressOf(1);
+  listTargets(world.at(first), kTargets, targets, world.now);
+  publishRoutes(world.at(first), twoRoutes(1), world.now);
+  const auto runConfirmed = [&world](MilliDuration span,
+                                     const auto& isCurrent) {
+    std::size_t readers = 0;
+    for (const MilliTime end = world.now + span; world.now < end;) {
+      world.run(200_ms);
+      std::size_t reading = 0;
+      for (auto& [address, engine] : world.engines) {
+        if (engine->shouldReadStore(world.now)) {
+          ++reading;
+          if (isCurrent(*engine)) {
+            confirmView(*engine, world.now);
+          }
+        }
+      }
+      readers = std::max(readers, reading);
+    }
+    return readers;
+  };
+  runConfirmed(10_s, [](const TagEngine&) { return true; });
+  Endpoint reader;
+  for (auto& [address, engine] : world.engines) {
+    if (engine->shouldReadStore(world.now)) {
+      reader = address;
+    }
+  }
+  for (TargetChange& change : targets) {
+    change.version.era = 1;
+  }
+  world.at(reader).onStoreEra(1);
+  world.at(reader).onTargetListing(
+    { positionAt(kTargets, 1), targets }, world.now, world.now);
+  const std::size_t readers = runConfirmed(4_s, [](const TagEngine& engine) {
+    return engine.board().registry.position().era == 1;
+  });
+  for (const auto& [address, engine] : world.engines) {
+    cr_assert_eq(engine->board().registry.position().era, 1);
+  }
+  cr_assert_leq(readers, 2, "%zu instances read the store", readers);
+}
