--- a/standin/StoreStandin.cpp
+++ b/standin/StoreStandin.cpp
@@ -1,9 +1,6 @@
 #include "StoreStandin.h"
 
-#include <algorithm>
-#include <boost/json.hpp>
 #include <charconv>
-#include <sodium.h>
 
 namespace buckthornwing::standin {
 namespace internal {
@@ -12,7 +9,6 @@
 constexpr std::chrono::milliseconds kPollPeriod{ 10 };
 constexpr unsigned kOk = 200;
 constexpr unsigned kNotFound = 404;
-constexpr unsigned kHistoryGone = 410;
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kUnavailable = 503;
 
@@ -52,26 +48,6 @@
   return {};
 }
 
-std::string
-encodeBase64(const std::string& bytes)
-{
-  constexpr int kVariant = sodium_base64_VARIANT_ORIGINAL;
-  std::string text(sodium_base64_encoded_len(bytes.size(), kVariant), '\0');
-  sodium_bin2base64(text.data(),
-                    text.size(),
-                    reinterpret_cast<const unsigned char*>(bytes.data()),
-                    bytes.size(),
-                    kVariant);
-  text.resize(text.size() - 1);
-  return text;
-}
-
-HttpResponse
-jsonReply(const boost::json::object& body)
-{
-  return { kOk, "application/json", boost::json::serialize(body), {} };
-}
-
 }
 
 StoreStandin::StoreStandin(boost::asio::io_context& context,
@@ -97,46 +73,30 @@
 void
 StoreStandin::put(const std::string& key, const std::string& value)
 {
-  Item& item = this->items[key];
-  const bool isNew = item.revision == 0 || item.isDeleted;
-  ++this->revision;
-  item.createdRevision = isNew ? this->revision : item.createdRevision;
-  item.value = value;
-  item.revision = this->revision;
-  item.isDeleted = false;
+  this->data.put(key, value);
   this->answerWatches();
 }
 
 void
 StoreStandin::remove(const std::string& key)
 {
-  this->items[key] = Item{ {}, ++this->revision, 0, true };
+  this->data.remove(key);
   this->answerWatches();
 }
 
 void
-StoreStandin::dropHistory()
-{
-  this->droppedRevision = ++this->revision;
-  std::erase_if(this->items,
-                [](const auto& item) { return item.second.isDeleted; });
-}
-
-void
-StoreStandin::restore(const Copy& from)
+StoreStandin::restore(const StoreData::Copy& from)
 {
-  this->items = from.items;
-  this->revision = from.revision;
-  this->droppedRevision = std::min(this->droppedRevision, from.revision);
-  ++this->era;
+  this->data.restore(from);
   this->watches.clear();
 }
 
 void
 StoreStandin::reply(const HttpServer::Respond& respond,
-                    HttpResponse response) const
+                    const StoreAnswer& answer) const
 {
-  response.fields["Store-Era"] = std::to_string(this->era);
+  HttpResponse response{ answer.status, "application/json", answer.body, {} };
+  response.fields["Store-Era"] = std::to_string(this->data.era());
   respond(std::move(response));
 }
 
@@ -147,16 +107,13 @@
   ++this->callCount;
   switch (this->fault) {
     case StoreFault::busy:
-      this->reply(respond, { internal::kUnavailable, "text/plain", "", {} });
+      this->reply(respond, { internal::kUnavailable, {} });
       return;
     case StoreFault::limited:
-      this->reply(respond,
-                  { internal::kTooManyRequests, "text/plain", "", {} });
+      this->reply(respond, { internal::kTooManyRequests, {} });
       return;
     case StoreFault::malformed:
-      this->reply(
-        respond,
-        { internal::kOk, "application/json", R"({"items":[{"key":)", {} });
+      this->reply(respond, { internal::kOk, R"({"items":[{"key":)" });
       return;
     case StoreFault::silent:
       this->ignoredRequests.push_back(respond);
@@ -169,7 +126,7 @@
   } else if (target.starts_with("/-/kv-watch")) {
     this->watch(target, respond);
   } else {
-    this->reply(respond, { internal::kNotFound, "text/plain", "", {} });
+    this->reply(respond, { internal::kNotFound, {} });
   }
 }
 
@@ -178,30 +135,11 @@
                    const HttpServer::Respond& respond)
 {
   const std::string prefix = internal::queryText(target, "prefix");
-  const std::string after = internal::queryText(target, "after");
-  boost::json::object body;
-  boost::json::array page;
-  bool hasMore = false;
-  for (const auto& [key, item] : this->items) {
-    if (item.isDeleted || !key.starts_with(prefix) || key <= after) {
-      continue;
-    }
-    if (page.size() == this->pageItems) {
-      hasMore = true;
-      break;
-    }
-    page.push_back({ { "key", key },
-                     { "value", internal::encodeBase64(item.value) },
-                     { "revision", item.revision },
-                     { "created_rev", item.createdRevision },
-                     { "lease", 0 } });
-  }
-  body["items"] = std::move(page);
-  body["has_more"] = hasMore;
-  body["as_of"] = this->revision;
-  this->reply(respond, internal::jsonReply(body));
+  this->reply(respond,
+              this->data.list(
+                prefix, internal::queryText(target, "after"), this->pageItems));
   if (this->afterPage) {
-    this->afterPage();
+    this->afterPage(prefix);
   }
 }
 
@@ -215,11 +153,7 @@
                     std::chrono::milliseconds(
                       queryNumber(target, "wait_ms", 0)),
                   respond };
-  const bool isKnown =
-    newWatch.after >= this->droppedRevision && newWatch.after <= this->revision;
-  if (!isKnown) {
-    this->reply(respond, { internal::kHistoryGone, "text/plain", "", {} });
-  } else if (!this->answerWatch(newWatch, false)) {
+  if (!this->answerWatch(newWatch, false)) {
     this->watches.push_back(std::move(newWatch));
   }
 }
@@ -227,27 +161,11 @@
 bool
 StoreStandin::answerWatch(const Watch& watch, bool isExpired)
 {
-  boost::json::array events;
-  for (const auto& [key, item] : this->items) {
-    if (item.revision <= watch.after || !key.starts_with(watch.prefix)) {
-      continue;
-    }
-    boost::json::object event{ { "key", key }, { "revision", item.revision } };
-    if (item.isDeleted) {
-      event["is_gone"] = true;
-    } else {
-      event["value"] = internal::encodeBase64(item.value);
-    }
-    events.push_back(std::move(event));
-  }
-  if (events.empty() && !isExpired) {
-    return false;
+  const auto answer = this->data.watch(watch.prefix, watch.after, isExpired);
+  if (answer) {
+    this->reply(watch.respond, *answer);
   }
-  boost::json::object body;
-  body["events"] = std::move(events);
-  body["as_of"] = this->revision;
-  this->reply(watch.respond, internal::jsonReply(body));
-  return true;
+  return answer.has_value();
 }
 
 void
--- a/standin/StoreStandin.h
+++ b/standin/StoreStandin.h
@@ -1,12 +1,13 @@
 #ifndef BUCKTHORNWING_STORE_STANDIN_H
 #define BUCKTHORNWING_STORE_STANDIN_H
 
+#include "StoreData.h"
+
 #include <src/Io/HttpServer.h>
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <list>
-#include <map>
 #include <string>
 
 namespace buckthornwing::standin {
@@ -21,27 +22,11 @@
   malformed, ///< responds with truncated JSON
 };
 
-/// \brief Stand-in for the platform's metadata store: an HTTP server with keys
-/// that have revisions, paged listings, watches, and a history of changes that
-/// can be dropped. It may be replaced by an older copy of itself.
+/// \brief Stand-in for the platform's metadata store: an HTTP server in front
+/// of StoreData.
 class StoreStandin
 {
-  struct Item
-  {
-    std::string value;
-    std::uint64_t revision = 0;
-    std::uint64_t createdRevision = 0;
-    bool isDeleted = false;
-  };
-
 public:
-  /// \brief The store's data at one time.
-  struct Copy
-  {
-    std::map<std::string, Item> items;
-    std::uint64_t revision = 0;
-  };
-
   /// \param pageItems largest number of items in a page of a listing
   StoreStandin(boost::asio::io_context& context, std::size_t pageItems);
 
@@ -51,20 +36,23 @@
   void put(const std::string& key, const std::string& value);
   void remove(const std::string& key);
 
-  /// \brief Drops the history of changes: a watch that continues from an
-  /// earlier revision is answered with status 410.
-  void dropHistory();
+  /// \brief Drops the history of changes, see StoreData::dropHistory().
+  void dropHistory() { this->data.dropHistory(); }
 
   /// \returns the present data.
-  Copy copy() const { return { this->items, this->revision }; }
-  /// \brief Replaces the data by an older copy: pending watches are cut,
-  /// revisions after the copy's are given out again, and the era increases.
-  void restore(const Copy& from);
+  StoreData::Copy copy() const { return this->data.copy(); }
+  /// \brief Replaces the data by an older copy, and cuts pending watches.
+  void restore(const StoreData::Copy& from);
+  /// \returns the value of a key; nothing if there is none.
+  std::optional<std::string> find(const std::string& key) const
+  {
+    return this->data.find(key);
+  }
 
   void setFault(StoreFault newFault) { this->fault = newFault; }
-  /// \brief Sets a function that is called after the response to each page of a
-  /// listing.
-  void setAfterPage(std::function<void()> function)
+  /// \brief Sets a function that is called with the prefix after the response
+  /// to each page of a listing.
+  void setAfterPage(std::function<void(const std::string&)> function)
   {
     this->afterPage = std::move(function);
   }
@@ -83,18 +71,16 @@
   HttpServer server;
   boost::asio::steady_timer timer;
   std::size_t pageItems;
-  std::map<std::string, Item> items;
+  StoreData data;
   std::list<Watch> watches;
   std::list<HttpServer::Respond> ignoredRequests;
-  std::uint64_t revision = 1;
-  std::uint64_t droppedRevision = 0; ///< watches from before it get 410
-  std::uint64_t era = 1;
   std::uint64_t callCount = 0;
   StoreFault fault = StoreFault::none;
-  std::function<void()> afterPage;
+  std::function<void(const std::string&)> afterPage;
 
   /// \brief Sends a response with the header of the era.
-  void reply(const HttpServer::Respond& respond, HttpResponse response) const;
+  void reply(const HttpServer::Respond& respond,
+             const StoreAnswer& answer) const;
   void serve(const std::string& target, const HttpServer::Respond& respond);
   void list(const std::string& target, const HttpServer::Respond& respond);
   void watch(const std::string& target, const HttpServer::Respond& respond);
--- a/test/platform/store_drill.cpp
+++ b/test/platform/store_drill.cpp
@@ -12,7 +12,7 @@
 /// \brief Fixture whose store can go away and come back from a copy.
 struct Drill : Loopback
 {
-  StoreStandin::Copy copy;
+  standin::StoreData::Copy copy;
 
   Drill() { this->copy = this->store.copy(); }
 
