Peers compare what they hold, and learn of removals that a new reader never saw

A reader that is started again after a removal lists the targets without it. The newest change that it listed lay before the removal, so it announced nothing newer, and confirmed the view of the peers that still knew the target. Change: a listing's position counts as content, so peers ask for what is newer. A difference carries a digest of the targets that it leaves alone; if it differs, the whole list is taken over. An unknown target in a list older than the registry has left. Of two ids with one number the one of the form that most ids have is kept.

--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -128,6 +128,7 @@
   /// Revision that \a targets continue from, in the era of \a view.
   std::uint64_t targetsBase = 0;
   bool isFull = false; ///< \a targets is a complete list
+  std::optional<std::uint64_t> unchangedDigest; ///< see TargetDelta
   std::vector<TargetChange> targets;
   std::optional<RouteChanges> routes;
 };
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -114,7 +114,9 @@
 {
   if (now >= this->nextTargetsRequest && !this->fetchedTargets.isFetching()) {
     this->nextTargetsRequest = now + this->requestPeriod();
-    const StorePosition position = this->board.registry.position();
+    const StorePosition position = this->needsFullTargets
+                                     ? StorePosition{}
+                                     : this->board.registry.position();
     this->messenger.send(
       from,
       ViewRequest{
@@ -239,7 +241,10 @@
   ViewUpdate update;
   update.view = this->messenger.ownView(now);
   update.targets = this->board.registry.changesSince(since, update.isFull);
-  update.targetsBase = update.isFull ? 0 : since->revision;
+  if (!update.isFull) {
+    update.targetsBase = since->revision;
+    update.unchangedDigest = this->board.registry.digest(*since);
+  }
   return encodeViewUpdate(update);
 }
 
@@ -465,9 +470,14 @@
   }
   if (!update.isFull) {
     const StorePosition base{ asOf.era, update.targetsBase };
-    this->view.onDelta({ base, asOf, targets }, now);
+    const TargetDelta delta{ base, asOf, targets, update.unchangedDigest };
+    this->needsFullTargets = !this->board.registry.agreesWith(delta);
+    if (!this->needsFullTargets) {
+      this->view.onDelta(delta, now);
+    }
   } else if (!this->board.registry.loaded() ||
              asOf > this->board.registry.position()) {
+    this->needsFullTargets = false;
     this->view.onListing({ asOf, targets }, now);
   }
 }
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -90,6 +90,7 @@
   bool hasOffered = false;
   std::deque<ViewPosition> pushHistory; ///< last pushes, oldest first
   MilliTime nextPush{};
+  bool needsFullTargets = false; ///< a peer's targets differ at one position
   MilliTime nextTargetsRequest{};
   MilliTime nextRoutesRequest{};
 
--- a/buckthornwing/src/Fleet/ViewWire.cpp
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -240,6 +240,10 @@
   out.view = internal::toWire(update.view);
   out.targetsBase = static_cast<std::int64_t>(update.targetsBase);
   out.isFull = update.isFull;
+  if (update.unchangedDigest) {
+    out.__set_unchangedDigest(
+      static_cast<std::int64_t>(*update.unchangedDigest));
+  }
   for (const TargetChange& change : update.targets) {
     out.targets.push_back(internal::toWire(change));
   }
@@ -260,6 +264,9 @@
   out.view = internal::fromWire(in.view);
   out.targetsBase = static_cast<std::uint64_t>(in.targetsBase);
   out.isFull = in.isFull;
+  if (in.__isset.unchangedDigest) {
+    out.unchangedDigest = static_cast<std::uint64_t>(in.unchangedDigest);
+  }
   for (const fleetwire::Target& target : in.targets) {
     TargetChange change;
     if (!internal::fromWire(target, out.view.targetsEra.value_or(0), change)) {
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -127,6 +127,8 @@
   3: bool isFull
   4: list<Target> targets
   5: optional RouteChanges routes
+  // Digest of the listed targets that did not change after the base.
+  6: optional i64 unchangedDigest
 }
 
 // A part of an encoded ViewUpdate.
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -1,5 +1,7 @@
 #include "TargetRegistry.h"
 
+#include "../Core/Hash.h"
+
 #include <algorithm>
 #include <set>
 
@@ -15,6 +17,30 @@
 /// flow.
 constexpr MilliDuration kTombstoneLifetime{ 90000 };
 
+std::uint64_t
+digestOf(const KnownTarget& target)
+{
+  return mixWords(hashText(target.record.id), target.version.revision);
+}
+
+/// \returns an id with each digit after its last dash replaced by 0. The ids of
+/// a deployment's targets are made alike, those of other writers are not.
+std::string
+idForm(std::string_view id)
+{
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  const std::size_t dash = id.rfind('-');
+  std::string form(id);
+  for (std::size_t i = dash == std::string_view::npos ? 0 : dash + 1;
+       i < form.size();
+       ++i) {
+    if (kDigits.find(form[i]) != std::string_view::npos) {
+      form[i] = '0';
+    }
+  }
+  return form;
+}
+
 }
 
 TargetSlot
@@ -96,37 +122,78 @@
   target.changedAt = now;
 }
 
+void
+TargetRegistry::countForms(std::span<const TargetChange> listed)
+{
+  this->byForm.clear();
+  for (const auto& [id, slot] : this->byId) {
+    ++this->byForm[internal::idForm(id)];
+  }
+  for (const TargetChange& change : listed) {
+    if (change.kind == ChangeKind::listed && !this->byId.contains(change.id)) {
+      ++this->byForm[internal::idForm(change.id)];
+    }
+  }
+}
+
+std::size_t
+TargetRegistry::countForm(std::string_view id) const
+{
+  const auto found = this->byForm.find(internal::idForm(id));
+  return found == this->byForm.end() ? 0 : found->second;
+}
+
 bool
-TargetRegistry::isNumberTaken(const TargetChange& change) const
+TargetRegistry::claimNumber(const TargetChange& change,
+                            std::vector<TargetSlot>& changed)
 {
   const TargetSlot holder = this->findNumber(change.record.number);
-  return holder != kNoTargetSlot && this->known[holder].record.id != change.id;
+  if (holder == kNoTargetSlot) {
+    return true;
+  }
+  ++this->conflicts;
+  if (this->countForm(change.id) <=
+      this->countForm(this->known[holder].record.id)) {
+    return false;
+  }
+  this->forget(holder);
+  changed.push_back(holder);
+  return true;
 }
 
 bool
+TargetRegistry::hasLeftSince(const Source& source,
+                             const TargetChange& change) const
+{
+  return source.asOf < this->position() &&
+         this->position().covers(change.version);
+}
+
+void
 TargetRegistry::apply(const TargetChange& change,
-                      bool isListing,
+                      const Source& source,
                       MilliTime now,
-                      TargetSlot& slot)
+                      std::vector<TargetSlot>& changed)
 {
-  slot = this->find(change.id);
+  TargetSlot slot = this->find(change.id);
   const bool isNew = slot == kNoTargetSlot;
   if (isNew) {
-    if (change.kind != ChangeKind::listed) {
-      return false;
+    if (change.kind != ChangeKind::listed ||
+        this->hasLeftSince(source, change) ||
+        !this->claimNumber(change, changed)) {
+      return;
     }
-    if (this->isNumberTaken(change)) {
-      ++this->conflicts;
-      return false;
+    if (!source.isListing) {
+      ++this->byForm[internal::idForm(change.id)];
     }
     slot = this->slotFor(change.id);
   }
   KnownTarget& target = this->known[slot];
   if (change.version <= target.version) {
-    return false;
+    return;
   }
   const bool isRestored =
-    isListing && !isNew && change.version.era > target.version.era;
+    source.isListing && !isNew && change.version.era > target.version.era;
   target.version = change.version;
   switch (change.kind) {
     case ChangeKind::listed:
@@ -145,20 +212,23 @@
       this->remove(target, now);
       break;
   }
-  return true;
+  changed.push_back(slot);
 }
 
 std::vector<TargetSlot>
 TargetRegistry::applyAll(std::span<const TargetChange> changes,
-                         bool isListing,
+                         const Source& source,
                          MilliTime now)
 {
   std::vector<TargetSlot> changed;
   for (const TargetChange& change : changes) {
-    TargetSlot slot = kNoTargetSlot;
     this->newestChange = std::max(this->newestChange, change.version);
-    if (this->apply(change, isListing, now, slot)) {
-      changed.push_back(slot);
+    this->apply(change, source, now, changed);
+  }
+  // Slots that were freed are reused only from now on.
+  for (const TargetSlot slot : changed) {
+    if (!this->known[slot].used) {
+      this->freeSlots.push_back(slot);
     }
   }
   return changed;
@@ -183,7 +253,8 @@
   if (!continues) {
     return std::nullopt;
   }
-  std::vector<TargetSlot> changed = this->applyAll(delta.changes, false, now);
+  std::vector<TargetSlot> changed =
+    this->applyAll(delta.changes, { delta.asOf, false }, now);
   this->advance(delta.asOf, now);
   return changed;
 }
@@ -191,15 +262,16 @@
 std::vector<TargetSlot>
 TargetRegistry::applyListing(const TargetListing& listing, MilliTime now)
 {
+  this->countForms(listing.listed);
   const bool isNewEra =
     this->loaded() && listing.asOf.era > this->position().era;
   const ChangeVersion listedAt{ listing.asOf.era, listing.asOf.revision };
-  std::vector<TargetSlot> changed = this->applyAll(listing.listed, true, now);
+  std::vector<TargetSlot> changed =
+    this->applyAll(listing.listed, { listing.asOf, true }, now);
   std::set<std::string_view> ids;
   for (const TargetChange& change : listing.listed) {
     ids.insert(change.id);
   }
-  bool hasRemoved = false;
   for (const auto& [id, slot] : this->byId) {
     KnownTarget& target = this->known[slot];
     if (!listing.asOf.covers(target.version) || ids.contains(id)) {
@@ -207,20 +279,55 @@
     }
     if (target.presence == TargetPresence::listed) {
       target.version = listedAt;
-      hasRemoved = true;
       this->remove(target, now);
       changed.push_back(slot);
     } else if (target.presence == TargetPresence::lapsed && isNewEra) {
       target.changedAt = now;
     }
   }
-  if (hasRemoved || isNewEra) {
-    this->newestChange = std::max(this->newestChange, listedAt);
-  }
+  // Targets may have been removed up to this position that were never known
+  // here, but are known to peers.
+  this->newestChange = std::max(this->newestChange, listedAt);
   this->advance(listing.asOf, now);
   return changed;
 }
 
+std::uint64_t
+TargetRegistry::digest(const StorePosition& upTo) const
+{
+  std::uint64_t sum = 0;
+  for (const KnownTarget& target : this->known) {
+    const bool isIncluded = target.used && upTo.covers(target.version) &&
+                            target.presence == TargetPresence::listed;
+    sum += isIncluded ? internal::digestOf(target) : 0;
+  }
+  return sum;
+}
+
+bool
+TargetRegistry::agreesWith(const TargetDelta& delta) const
+{
+  if (!delta.unchangedDigest || delta.asOf <= this->position()) {
+    return true;
+  }
+  std::uint64_t sum = 0;
+  for (const KnownTarget& target : this->known) {
+    const bool isListed =
+      target.used && target.presence == TargetPresence::listed;
+    sum += isListed ? internal::digestOf(target) : 0;
+  }
+  std::set<TargetSlot> changed;
+  for (const TargetChange& change : delta.changes) {
+    const TargetSlot slot = this->find(change.id);
+    const bool isCounted =
+      slot != kNoTargetSlot &&
+      this->known[slot].presence == TargetPresence::listed &&
+      changed.insert(slot).second;
+    sum -= isCounted ? internal::digestOf(this->known[slot]) : 0;
+  }
+  return sum == *delta.unchangedDigest;
+}
+
 StorePosition
 TargetRegistry::contentPosition() const
 {
@@ -245,6 +352,7 @@
   if (target.presence == TargetPresence::gone &&
       now >= target.changedAt + internal::kTombstoneLifetime) {
     this->forget(slot);
+    this->freeSlots.push_back(slot);
     return true;
   }
   if (target.awaitsRenewal && target.presence == TargetPresence::listed &&
@@ -279,7 +387,6 @@
     this->byNumber.erase(numbered);
   }
   target.used = false;
-  this->freeSlots.push_back(slot);
 }
 
 std::vector<TargetChange>
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -52,6 +52,10 @@
   StorePosition base; ///< the changes continue from here
   StorePosition asOf;
   std::span<const TargetChange> changes;
+  /// TargetRegistry::digest() of the sender's targets that did not change after
+  /// \a base. Set by peers: one that has listed the targets does not know which
+  /// ones were removed before.
+  std::optional<std::uint64_t> unchangedDigest{};
 };
 
 /// \brief All targets of the store. It contains every change up to \a asOf, and
@@ -76,8 +80,9 @@
 /// \brief All targets that flows may belong to, with the position in the
 /// store's history up to which their changes have been applied.
 ///
-/// A number belongs to the first target that has it: packets carry it, so a
-/// second one would take over the first one's flows.
+/// Packets carry a target's number, so a second entry with it would take over
+/// the target's flows. Only one of them is kept: the one whose id has the more
+/// common form, or the first one.
 ///
 /// A target's versions only increase: a change is ignored unless its version is
 /// above that of the target's last change. The position is raised only by lists
@@ -87,6 +92,10 @@
 public:
   void setRules(const RegistryRules& newRules) { this->rules = newRules; }
 
+  /// \returns whether the targets that a delta does not change are the same
+  /// here and at its sender. If not, the sender's complete list is needed.
+  bool agreesWith(const TargetDelta& delta) const;
+
   /// \brief Applies the changes since a position that this registry holds.
   /// \returns the slots that changed; nothing, without a change, if the changes
   /// do not continue from the position of this registry
@@ -147,11 +156,18 @@
     const std::optional<StorePosition>& since,
     bool& isFull) const;
 
+  /// \returns a digest of the listed targets and their versions up to a
+  /// position.
+  std::uint64_t digest(const StorePosition& upTo) const;
+
 private:
   std::vector<KnownTarget> known;
   std::vector<TargetSlot> freeSlots;
   std::map<std::string, TargetSlot, std::less<>> byId;
   std::map<std::uint64_t, TargetSlot> byNumber;
+  /// Number of entries with ids of each form, see idForm(): those known at the
+  /// last complete list, and new ones since.
+  std::map<std::string, std::size_t> byForm;
   std::optional<StorePosition> asOf;
   ChangeVersion newestChange;
   ChangeVersion newestForgotten; ///< of the newest deleted tombstone
@@ -161,16 +177,32 @@
   MilliTime firstLoadedAt{};
 
   TargetSlot slotFor(const std::string& id);
-  /// \returns whether another target has the number of a listed entry.
-  bool isNumberTaken(const TargetChange& change) const;
+  /// \brief Finds out whether a new entry may have its number. Another target
+  /// with the number whose id has a rarer form is forgotten.
+  /// \param changed receives the slot of that target
+  bool claimNumber(const TargetChange& change,
+                   std::vector<TargetSlot>& changed);
+  /// \brief Counts the forms of all known ids and those of a complete list.
+  void countForms(std::span<const TargetChange> listed);
+  std::size_t countForm(std::string_view id) const;
   void advance(const StorePosition& newPosition, MilliTime now);
-  /// \param isListing whether the change is an entry of a complete list
-  bool apply(const TargetChange& change,
-             bool isListing,
+  /// \brief How changes were received.
+  struct Source
+  {
+    StorePosition asOf;
+    bool isListing = false; ///< they are entries of a complete list
+  };
+
+  /// \returns whether an entry of an unknown target names one that has left: a
+  /// list that is older than this registry still has it.
+  bool hasLeftSince(const Source& source, const TargetChange& change) const;
+  /// \param changed receives the slots that change
+  void apply(const TargetChange& change,
+             const Source& source,
              MilliTime now,
-             TargetSlot& slot);
+             std::vector<TargetSlot>& changed);
   std::vector<TargetSlot> applyAll(std::span<const TargetChange> changes,
-                                   bool isListing,
+                                   const Source& source,
                                    MilliTime now);
   void list(KnownTarget& target, const TargetChange& change, MilliTime now);
   /// \brief Applies a target's entry in an older copy of the store.
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -153,6 +153,32 @@
   cr_assert_neq(registry.find("t-1"), kNoTargetSlot);
 }
 
+/// Guards against an entry of another writer that takes over a target's flows:
+/// it was registered while the target's own registration had expired.
+Test(registry, a_number_belongs_to_the_id_of_the_more_common_form)
+{
+  TargetRegistry registry;
+  TargetChange odd = listed(3, 1);
+  odd.id = "x-3";
+  odd.record.id = odd.id;
+  const std::vector<TargetChange> entries{ odd, listed(4, 2), listed(5, 3) };
+  registry.applyListing({ positionAt(3), entries }, MilliTime{ 1 });
+  cr_assert_neq(registry.find("x-3"), kNoTargetSlot);
+  const auto changed =
+    applyUpTo(registry, 4, std::vector{ listed(3, 4) }, MilliTime{ 2 });
+  cr_assert_eq(changed.size(), 2, "the other entry is forgotten");
+  cr_assert_eq(registry.find("x-3"), kNoTargetSlot);
+  cr_assert_eq(registry.at(registry.findNumber(3)).record.id, "t-3");
+  odd.version.revision = 5;
+  cr_assert(applyUpTo(registry, 5, std::vector{ odd }, MilliTime{ 3 }).empty());
+  const std::vector<TargetChange> later{
+    odd, listed(4, 2), listed(5, 3), listed(3, 4)
+  };
+  TargetRegistry fresh;
+  fresh.applyListing({ positionAt(5), later }, MilliTime{ 1 });
+  cr_assert_eq(fresh.at(fresh.findNumber(3)).record.id, "t-3");
+}
+
 Test(routes, an_older_version_is_never_applied)
 {
   RouteIndex index;
