The soak lets the store come back from older copies, and has more odd entries

Drills come in series and beside the other faults; targets and operator write again what the store has lost, entries of targets that have ended expire. Odd entries have ids with reserved characters, the digits of a living target's id, and 100,000 bytes.

--- a/emulator/Routes.cpp
+++ b/emulator/Routes.cpp
@@ -56,6 +56,14 @@
 void
 Routes::publish(Version version)
 {
+  this->versions.push_back(std::move(version));
+  this->writeNewest();
+}
+
+void
+Routes::writeNewest()
+{
+  const Version& version = this->versions.back();
   std::vector<standin::RouteDefinition> routes;
   for (std::size_t i = 0; i < kRouteCount; ++i) {
     if (version.services[i]) {
@@ -67,7 +75,6 @@
   this->store.put(std::string(platform::kRoutesKey),
                   standin::formatConfiguration(
                     version.number, routes, { "booking", "billing" }));
-  this->versions.push_back(std::move(version));
 }
 
 }
--- a/emulator/Routes.h
+++ b/emulator/Routes.h
@@ -45,6 +45,9 @@
   std::optional<VersionRange> versionsOf(std::size_t index,
                                          const std::string& service) const;
 
+  /// \brief Writes the newest configuration again, after the store has lost it.
+  void writeNewest();
+
 private:
   struct Version
   {
--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -4,6 +4,7 @@
 #include <platform/StoreItems.h>
 #include <standin/StoreEntries.h>
 
+#include <algorithm>
 #include <boost/endian/conversion.hpp>
 #include <iomanip>
 #include <sstream>
@@ -188,11 +189,69 @@
 }
 
 void
-Targets::putMalformedRegistration()
+Targets::onStoreRestored()
 {
-  this->guarantees.count("fault_unreadable_entry");
-  this->store.put(std::string(platform::kTargetKeyPrefix) + "i-unreadable",
-                  "\xff{");
+  this->timers.after(internal::kReregistrationDelay,
+                     [this] { this->writeAgain(); });
+  this->timers.after(internal::kRegistrationLifetime,
+                     [this] { this->removeOrphans(); });
+}
+
+void
+Targets::writeAgain()
+{
+  for (std::size_t i = 0; i < this->targets.size(); ++i) {
+    const Target& target = *this->targets[i];
+    const std::string key = this->storeKeyOf(target);
+    const std::string entry = this->registrationOf(target, i);
+    if (target.isRegistered && this->store.find(key) != entry) {
+      this->store.put(key, entry);
+    }
+  }
+}
+
+void
+Targets::removeOrphans()
+{
+  const std::string prefix = std::string(platform::kTargetKeyPrefix) + "i-0";
+  for (const std::string& key : this->store.keys(prefix)) {
+    const bool isRegistered = std::any_of(
+      this->targets.begin(),
+      this->targets.end(),
+      [this, &key](const auto& target) {
+        return target->isRegistered && this->storeKeyOf(*target) == key;
+      });
+    if (!isRegistered) {
+      this->store.remove(key);
+    }
+  }
+}
+
+void
+Targets::putOddEntry(std::size_t variant)
+{
+  this->guarantees.count("fault_odd_entry");
+  const std::string prefix(platform::kTargetKeyPrefix);
+  const Target& target = *this->targets[variant % this->targets.size()];
+  constexpr std::size_t kVariants = 4;
+  switch (variant % kVariants) {
+    case 0:
+      this->store.put(prefix + "i-unreadable", "\xff{");
+      break;
+    case 1:
+      this->store.put(prefix + "i-1 a&b#c%", std::string(1000, '['));
+      break;
+    case 2:
+      // The digits of a target's id, and an address where nothing listens.
+      this->store.put(
+        prefix + "x" + this->storeKeyOf(target).substr(prefix.size() + 1),
+        standin::formatTargetRegistration(
+          { target.service, *parseEndpoint("127.0.0.1:9"), "zone-a" }));
+      break;
+    default:
+      this->store.put(prefix + "i-2", std::string(100000, 'v'));
+      break;
+  }
 }
 
 std::string
@@ -284,14 +343,20 @@
     target.registeredAt = bootTime();
   }
   target.isRegistered = true;
-  this->store.put(
-    this->storeKeyOf(target),
-    standin::formatTargetRegistration({ target.service,
-                                        this->addresses.target(index),
-                                        target.zone,
-                                        internal::kSlots,
-                                        target.state == Target::State::draining,
-                                        target.incarnation }));
+  this->store.put(this->storeKeyOf(target),
+                  this->registrationOf(target, index));
+}
+
+std::string
+Targets::registrationOf(const Target& target, std::size_t index) const
+{
+  return standin::formatTargetRegistration(
+    { target.service,
+      this->addresses.target(index),
+      target.zone,
+      internal::kSlots,
+      target.state == Target::State::draining,
+      target.incarnation });
 }
 
 void
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -136,8 +136,14 @@
   /// \a duration. Targets that are alive register again some time after that.
   void removeRegistrations(MilliDuration duration);
 
-  /// \brief Stores a registration that is not valid JSON.
-  void putMalformedRegistration();
+  /// \brief Handles a store that has come back from an older copy: after some
+  /// time the targets write again what it has lost, and entries of targets that
+  /// have ended expire.
+  void onStoreRestored();
+
+  /// \brief Stores an entry of another writer, which names no target.
+  /// \param variant selects one of several kinds
+  void putOddEntry(std::size_t variant);
 
 private:
   boost::asio::io_context& context;
@@ -159,6 +165,9 @@
   void closeHealth(Target& target);
   void makeSilent(std::size_t index);
   void registerTarget(Target& target, std::size_t index);
+  std::string registrationOf(const Target& target, std::size_t index) const;
+  void writeAgain();
+  void removeOrphans();
   void removeTarget(std::size_t index);
   void deregister(std::uint64_t number);
   std::string storeKeyOf(const Target& target) const;
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -4,6 +4,8 @@
 namespace internal {
 
 constexpr std::int64_t kMinGapMs = 50;
+/// \brief Time within which targets write again what the store has lost.
+constexpr MilliDuration kRewriteTime{ 2000 };
 /// \brief Maximum time between two faults in ms; the seed selects one. With
 /// short gaps faults overlap, long gaps leave time in which bounds must hold.
 constexpr std::array<std::int64_t, 3> kMaxGapsMs{ 400, 1200, 5000 };
@@ -116,6 +118,7 @@
     this->parts.guarantees.count("fault_history_dropped");
     this->parts.store.dropHistory();
   });
+  this->injectors.emplace_back([this] { this->keepCopy(); });
 }
 
 void
@@ -133,7 +136,7 @@
                                 this->randomDuration(300, 3000));
   });
   this->injectors.emplace_back(
-    [this] { this->parts.targets.putMalformedRegistration(); });
+    [this] { this->parts.targets.putOddEntry(this->randomBelow(100)); });
 }
 
 void
@@ -199,6 +202,44 @@
   }
 }
 
+void
+Faults::keepCopy()
+{
+  const auto restoreLater = [this,
+                             copy = this->parts.store.copy()](int drills) {
+    this->parts.timers.after(
+      this->randomDuration(500, 3000),
+      [this, copy, drills] { this->restoreStore(copy, drills); });
+  };
+  // Some drills follow each other within seconds.
+  restoreLater(this->randomBelow(3) == 0 ? 2 : 1);
+}
+
+void
+Faults::restoreStore(const standin::StoreData::Copy& copy, int drills)
+{
+  this->parts.guarantees.recordFault("restore", std::to_string(copy.revision));
+  ++this->activeStoreFaults;
+  this->parts.storeStability.beginFault();
+  this->parts.store.setFault(standin::StoreFault::busy);
+  this->parts.timers.after(
+    this->randomDuration(200, 1000), [this, copy, drills] {
+      this->parts.store.restore(copy);
+      if (this->activeStoreFaults == 1) {
+        this->parts.store.setFault(standin::StoreFault::none);
+      }
+      this->parts.targets.onStoreRestored();
+      this->parts.routes.writeNewest();
+      this->parts.timers.after(internal::kRewriteTime,
+                               [this] { this->endStoreFault(); });
+      if (drills > 1) {
+        this->parts.timers.after(
+          this->randomDuration(100, 1000),
+          [this, copy, drills] { this->restoreStore(copy, drills - 1); });
+      }
+    });
+}
+
 void
 Faults::expireRegistrations()
 {
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -49,6 +49,11 @@
   void killAllInstances();
   void injectStoreFault();
   void endStoreFault();
+  /// \brief Keeps a copy of the store's data, from which it comes back some
+  /// seconds later.
+  void keepCopy();
+  /// \param drills number of times that the store comes back from the copy
+  void restoreStore(const standin::StoreData::Copy& copy, int drills);
   /// \brief Removes the registrations of all targets from the store for 1 s to
   /// 4 s, unless another fault of the store is active.
   void expireRegistrations();
--- a/standin/StoreData.cpp
+++ b/standin/StoreData.cpp
@@ -68,6 +68,18 @@
   return exists ? std::optional(found->second.value) : std::nullopt;
 }
 
+std::vector<std::string>
+StoreData::keys(const std::string& prefix) const
+{
+  std::vector<std::string> found;
+  for (const auto& [key, item] : this->items) {
+    if (!item.isDeleted && key.starts_with(prefix)) {
+      found.push_back(key);
+    }
+  }
+  return found;
+}
+
 StoreAnswer
 StoreData::list(const std::string& prefix,
                 const std::string& after,
--- a/standin/StoreData.h
+++ b/standin/StoreData.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace buckthornwing::standin {
 
@@ -52,6 +53,8 @@
 
   /// \returns the value of a key; nothing if there is none.
   std::optional<std::string> find(const std::string& key) const;
+  /// \returns the keys with a prefix.
+  std::vector<std::string> keys(const std::string& prefix) const;
   std::uint64_t revision() const { return this->currentRevision; }
   std::uint64_t era() const { return this->currentEra; }
 
--- a/standin/StoreStandin.h
+++ b/standin/StoreStandin.h
@@ -49,6 +49,12 @@
     return this->data.find(key);
   }
 
+  /// \returns the keys with a prefix.
+  std::vector<std::string> keys(const std::string& prefix) const
+  {
+    return this->data.keys(prefix);
+  }
+
   void setFault(StoreFault newFault) { this->fault = newFault; }
   /// \brief Sets a function that is called with the prefix after the response
   /// to each page of a listing.
