No open flow is reset on a guess after a start; targets that vanished are probed after a drill

All registrations had expired, the store came back twice from a copy that lacked them, and the targets, listed again in the next era, waited 7 s for their renewal. Now an answer to a probe ends the wait of a target that vanished without draining. Now all kinds wait until 2.5 s after the first list. Tests: the test that asked for the early reset is replaced by its opposite for both kinds; two others wait for the 2.5 s before what they check.

--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -341,12 +341,20 @@
       health.hasLeft = true;
       this->newlyDead.push_back(slot);
     }
-    const bool isDue = health.state != HealthState::trusted &&
-                       !health.probing && now >= health.nextProbeAt;
-    if (isDue && this->board.registry.at(slot).used &&
-        this->board.registry.at(slot).presence != TargetPresence::gone) {
-      this->requestProbe(slot, now);
-    }
+    this->probeIfDue(slot, now);
+  }
+}
+
+void
+HealthController::probeIfDue(TargetSlot slot, MilliTime now)
+{
+  const TargetHealth& health = this->board.health[slot];
+  const KnownTarget& target = this->board.registry.at(slot);
+  const bool isWanted =
+    health.state != HealthState::trusted || target.isRenewedByAnswer;
+  if (isWanted && !health.probing && now >= health.nextProbeAt && target.used &&
+      target.presence != TargetPresence::gone) {
+    this->requestProbe(slot, now);
   }
 }
 
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -98,6 +98,7 @@
   /// target becomes dead or is probed again.
   void onConfirmedTimeout(TargetSlot target, MilliTime now);
   void onFailedProbe(TargetSlot target, ProbeResult result, MilliTime now);
+  void probeIfDue(TargetSlot slot, MilliTime now);
   void requestProbe(TargetSlot target, MilliTime now);
   void reportProbe(TargetSlot target, const std::string& found, MilliTime now);
   void report(TagEventKind kind,
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -194,8 +194,8 @@
     this->board.tags.find(this->board.registry, packet.tag, packet.flow);
   if (decision.target == kNoTargetSlot) {
     decision.reason = SteeringReason::unknownTag;
-    const bool hasLeft = this->unknownTargets.hasTargetLeft(
-      this->board, id, isRepeatable(decision.route->kind), now);
+    const bool hasLeft =
+      this->unknownTargets.hasTargetLeft(this->board, id, now);
     decision.outcome = hasLeft ? SteeringOutcome::reset : SteeringOutcome::hold;
     return decision;
   }
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -186,6 +186,9 @@
 TagEngine::onProbeResult(TargetSlot target, ProbeResult result, MilliTime now)
 {
   this->health.onProbeResult(target, result, now);
+  if (result == ProbeResult::alive) {
+    this->view.onAnswer(target, now);
+  }
 }
 
 void
--- a/buckthornwing/src/Steering/UnknownTargets.cpp
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -18,7 +18,6 @@
 bool
 UnknownTargets::hasTargetLeft(const TagBlackboard& board,
                               FlowId flow,
-                              bool isRepeatable,
                               MilliTime now)
 {
   if (this->firstSeen.size() >= internal::kMaxUnknownFlows) {
@@ -26,9 +25,7 @@
   }
   const MilliTime seen = this->firstSeen.try_emplace(flow, now).first->second;
   const MilliTime uncertainAt =
-    isRepeatable
-      ? board.registry.lastStoreFailure()
-      : std::max(board.registry.lastStoreFailure(), board.registry.loadedAt());
+    std::max(board.registry.lastStoreFailure(), board.registry.loadedAt());
   const bool isWell = now - uncertainAt > internal::kRegistryRecovery;
   if (!isWell || board.targetsCompleteAt < seen) {
     this->needsListing = this->needsListing || isWell;
--- a/buckthornwing/src/Steering/UnknownTargets.h
+++ b/buckthornwing/src/Steering/UnknownTargets.h
@@ -18,13 +18,8 @@
 class UnknownTargets
 {
 public:
-  /// \param isRepeatable whether requests of the flow may be repeated; a wrong
-  /// result then costs the caller only another attempt
   /// \returns whether the target of a flow with an unknown tag has left.
-  bool hasTargetLeft(const TagBlackboard& board,
-                     FlowId flow,
-                     bool isRepeatable,
-                     MilliTime now);
+  bool hasTargetLeft(const TagBlackboard& board, FlowId flow, MilliTime now);
 
   /// \returns whether a full read of the registry would decide a waiting flow.
   /// True at most once a second.
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -113,6 +113,14 @@
         std::to_string(applied.skipped) + " skipped" });
 }
 
+void
+ViewController::onAnswer(TargetSlot slot, MilliTime now)
+{
+  if (this->board.registry.onAnswer(slot)) {
+    this->onChanged(std::span(&slot, 1), now);
+  }
+}
+
 void
 ViewController::tick(MilliTime now)
 {
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -29,6 +29,8 @@
   /// \brief Applies changes of the routes.
   /// \returns whether the changes were accepted
   bool onRouteChanges(const RouteChanges& changes, MilliTime now);
+  /// \brief Handles a target's answer to a probe.
+  void onAnswer(TargetSlot slot, MilliTime now);
   /// \brief Removes targets whose entries vanished too long ago; called once
   /// per kTagTickPeriod.
   void tick(MilliTime now);
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -84,6 +84,7 @@
   target.record = change.record;
   target.presence = TargetPresence::listed;
   target.changedAt = now;
+  target.isRenewedByAnswer = false;
   target.awaitsRenewal =
     change.awaitsRenewal && change.record.state == TargetState::serving;
   target.wasDraining =
@@ -105,9 +106,25 @@
   const bool hadLeft = target.presence == TargetPresence::gone ||
                        target.record.state == TargetState::draining ||
                        target.awaitsRenewal;
+  const bool hasVanished =
+    target.presence == TargetPresence::gone && !target.wasDraining;
   TargetChange restored = change;
   restored.awaitsRenewal = change.awaitsRenewal || (isSameProcess && hadLeft);
   this->list(target, restored, now);
+  target.isRenewedByAnswer = target.awaitsRenewal && hasVanished;
+}
+
+bool
+TargetRegistry::onAnswer(TargetSlot slot)
+{
+  KnownTarget& target = this->known[slot];
+  if (!target.used || !target.awaitsRenewal || !target.isRenewedByAnswer) {
+    return false;
+  }
+  target.awaitsRenewal = false;
+  target.isRenewedByAnswer = false;
+  target.wasDraining = false;
+  return true;
 }
 
 void
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -37,6 +37,9 @@
   /// which it serves. It takes no new flows until its entry changes, or has
   /// outlived the lifetime of a registration that is not renewed.
   bool awaitsRenewal = false;
+  /// It awaits renewal because it had left, without draining. An answer to a
+  /// probe shows that it has not.
+  bool isRenewedByAnswer = false;
 
   /// \returns whether new flows may be assigned to it.
   bool takesNewFlows() const
@@ -110,6 +113,10 @@
   std::vector<TargetSlot> applyListing(const TargetListing& listing,
                                        MilliTime now);
 
+  /// \brief Ends the wait for a target's renewal after it has answered a probe.
+  /// \returns whether the target changed
+  bool onAnswer(TargetSlot slot);
+
   /// \brief Records a failure of the store. Entries that vanish shortly after
   /// it are kept as lapsed, because their servers may register again.
   void recordStoreFailure(MilliTime at)
--- a/emulator/Checks.cpp
+++ b/emulator/Checks.cpp
@@ -157,16 +157,6 @@
     return;
   }
   this->parts.guarantees.count("resets_of_living");
-  // A newly started instance can't distinguish a target whose registration
-  // expired from one that has terminated. It may reset flows with idempotent
-  // requests, because callers can send these again to another target.
-  const bool isFresh =
-    bootTime() - this->parts.instances.at(instance).startedAt <
-    Bounds::kSettlingTime;
-  if (isFresh && Routes::isIdempotent(flow.route)) {
-    this->parts.guarantees.count("resets_by_fresh_instances");
-    return;
-  }
   if (target->stability.isStable()) {
     this->parts.guarantees.reportViolation(
       "no_reset_of_living", this->describe(flow, flow.target, instance));
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -188,7 +188,7 @@
   after.now = after.now + 100_ms;
   const auto packet = flowPacket(flow, tag, 1000, 1, 100);
   cr_assert(after.send(packet).outcome == SteeringOutcome::hold);
-  after.run(100_ms);
+  after.run(2600_ms);
   const auto decision = after.send(packet);
   cr_assert(decision.outcome == SteeringOutcome::reset);
   cr_assert(decision.reason == SteeringReason::unknownTag);
@@ -197,39 +197,30 @@
 /// The registry may have lost entries of live targets just before this process
 /// started; the targets register again within 2 s. A reset in that time could
 /// cost a request that must not be repeated.
-Test(steering, a_non_idempotent_flow_of_an_unknown_target_is_held_after_a_start)
+Test(steering, a_flow_of_an_unknown_target_is_held_after_a_start)
 {
-  EngineFixture world;
-  RouteTable table = twoRoutes(2);
-  table.routes[0].kind = RouteKind::nonIdempotent;
-  publishRoutes(world.engine, table, world.now);
-  const auto packet =
-    flowPacket(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
-  world.now = world.now + 10_ms;
-  world.send(packet);
-  world.run(2_s);
-  cr_assert(world.send(packet).outcome == SteeringOutcome::hold);
-  changeTargets(world.engine, 101, std::vector{ listed(50, 101) }, world.now);
-  world.run(600_ms);
-  cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
-}
-
-/// An idempotent request is answered sooner if it is repeated at another
-/// target.
-Test(steering, an_idempotent_flow_of_an_unknown_target_is_reset_after_a_start)
-{
-  EngineFixture world;
-  const auto packet =
-    flowPacket(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
-  world.now = world.now + 10_ms;
-  world.send(packet);
-  world.run(100_ms);
-  cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
+  for (const RouteKind kind :
+       { RouteKind::idempotent, RouteKind::nonIdempotent }) {
+    EngineFixture world;
+    RouteTable table = twoRoutes(2);
+    table.routes[0].kind = kind;
+    publishRoutes(world.engine, table, world.now);
+    const auto packet =
+      flowPacket(flowOf(1), FlowTag{ 0xabcde123 }, 1000, 1, 100);
+    world.now = world.now + 10_ms;
+    world.send(packet);
+    world.run(2_s);
+    cr_assert(world.send(packet).outcome == SteeringOutcome::hold);
+    changeTargets(world.engine, 101, std::vector{ listed(50, 101) }, world.now);
+    world.run(600_ms);
+    cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
+  }
 }
 
 Test(steering, an_unknown_target_requests_a_listing_once_a_second)
 {
   EngineFixture world;
+  world.run(3_s);
   cr_assert_not(world.engine.needsTargetListing(world.now));
   world.now = world.now + 10_ms;
   const auto packet =
--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -197,6 +197,31 @@
   cr_assert(fixture.target(1).takesNewFlows());
 }
 
+/// Guards against a service without targets for 7 s: all registrations had
+/// expired, and were back in the next era.
+Test(store_eras, a_target_that_vanished_and_answers_a_probe_takes_flows)
+{
+  EngineFixture world(2);
+  const std::vector<TargetChange> ends{ gone(1, 200), gone(2, 201) };
+  changeTargets(world.engine, 201, ends, world.now);
+  std::vector<TargetChange> back{ listed(1, 10), listed(2, 11) };
+  for (TargetChange& change : back) {
+    change.version.era = 1;
+  }
+  world.engine.onTargetListing(
+    { positionAt(11, 1), back }, world.now, world.now);
+  world.run(100_ms, false);
+  const TargetRegistry& registry = world.engine.board().registry;
+  cr_assert_not(registry.at(registry.find("t-1")).takesNewFlows());
+  for (const TargetSlot slot : world.engine.takeProbes()) {
+    const bool isFirst = slot == registry.find("t-1");
+    world.engine.onProbeResult(
+      slot, isFirst ? ProbeResult::alive : ProbeResult::refused, world.now);
+  }
+  cr_assert(registry.at(registry.find("t-1")).takesNewFlows());
+  cr_assert_not(registry.at(registry.find("t-2")).takesNewFlows());
+}
+
 Test(store_eras, a_target_that_the_copy_lacks_is_kept_for_a_while)
 {
   EraFixture fixture({ listed(1, 4), listed(2, 15) });
