The soak's limit for a stop applies to the process that was told to stop

The check now compares the number of the start; for the process that was told it is as strict as before.

--- a/emulator/Instances.cpp
+++ b/emulator/Instances.cpp
@@ -91,8 +91,11 @@
     index,
     "stop",
     Bounds::kStopTimeout + downFor,
-    [this, index](Instance& stopped) {
-      if (stopped.process->isRunning() && !stopped.wasKilled) {
+    [this, index, startCount = instance.startCount](Instance& stopped) {
+      // Another fault may have ended the process and started a new one, which
+      // was not told to stop.
+      const bool isSameProcess = stopped.startCount == startCount;
+      if (isSameProcess && stopped.process->isRunning() && !stopped.wasKilled) {
         // The limit applies only if the process has not been frozen
         // recently. In any case a process that is still running is killed, as
         // the fabric does on the platform.
