A slot of a replaced registry entry is freed once

Found by reading the diff: if one list had another writer's entry and then the target with its number, the entry's slot was put twice into the list of free slots, and two later targets got the same slot. registry::the_slot_of_a_replaced_entry_is_reused_once failed before.

--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -174,6 +174,7 @@
     return false;
   }
   this->forget(holder);
+  this->replacedSlots.push_back(holder);
   changed.push_back(holder);
   return true;
 }
@@ -242,12 +243,11 @@
     this->newestChange = std::max(this->newestChange, change.version);
     this->apply(change, source, now, changed);
   }
-  // Slots that were freed are reused only from now on.
-  for (const TargetSlot slot : changed) {
-    if (!this->known[slot].used) {
-      this->freeSlots.push_back(slot);
-    }
-  }
+  // A slot is not reused before its users have been told that it changed.
+  this->freeSlots.insert(this->freeSlots.end(),
+                         this->replacedSlots.begin(),
+                         this->replacedSlots.end());
+  this->replacedSlots.clear();
   return changed;
 }
 
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -170,6 +170,7 @@
 private:
   std::vector<KnownTarget> known;
   std::vector<TargetSlot> freeSlots;
+  std::vector<TargetSlot> replacedSlots; ///< freed by the present changes
   std::map<std::string, TargetSlot, std::less<>> byId;
   std::map<std::uint64_t, TargetSlot> byNumber;
   /// Number of entries with ids of each form, see idForm(): those known at the
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -179,6 +179,24 @@
   cr_assert_eq(fresh.at(fresh.findNumber(3)).record.id, "t-3");
 }
 
+/// Guards against two targets in one slot: it was freed twice, as one list had
+/// the entry of another writer and then that of the target.
+Test(registry, the_slot_of_a_replaced_entry_is_reused_once)
+{
+  TargetRegistry registry;
+  TargetChange odd = listed(3, 1);
+  odd.id = "x-3";
+  odd.record.id = odd.id;
+  const std::vector<TargetChange> entries{ odd, listed(3, 2), listed(4, 3) };
+  registry.applyListing({ positionAt(3), entries }, MilliTime{ 1 });
+  const std::vector<TargetChange> more{ listed(5, 4), listed(6, 5) };
+  applyUpTo(registry, 5, more, MilliTime{ 2 });
+  for (std::uint64_t number = 3; number <= 6; ++number) {
+    const TargetSlot slot = registry.findNumber(number);
+    cr_assert_eq(registry.at(slot).record.number, number);
+  }
+}
+
 Test(routes, an_older_version_is_never_applied)
 {
   RouteIndex index;
