The soak accepts that SIGTERM ends a process before its main function has begun

Trace: started at 7,583 ms, told to stop at 7,621 ms, ended by SIGTERM; its log has no start line of that process. A process that has written a log line must still handle SIGTERM, and one that wasn't told to stop must run on.

--- a/emulator/Instances.cpp
+++ b/emulator/Instances.cpp
@@ -285,6 +285,7 @@
   }
   this->writeSettings(instance, index, false);
   instance.wasKilled = false;
+  instance.hasLogged = false;
   instance.stopRequestedAt.reset();
   ++instance.startCount;
   instance.startedAt = bootTime();
@@ -299,6 +300,7 @@
 Instances::checkLogLine(std::size_t index, const std::string& line)
 {
   this->guarantees.count("log_lines");
+  this->instances[index].hasLogged = true;
   boost::json::error_code code;
   const boost::json::value value = boost::json::parse(line, code);
   if (code || !value.is_object()) {
@@ -324,7 +326,9 @@
   const Instance& instance = this->instances[index];
   this->guarantees.note("instance " + std::to_string(index) + " exited with " +
                         std::to_string(code));
-  const bool isPlanned = instance.stopRequestedAt && code == 0;
+  // A process can't handle SIGTERM before its main function has begun.
+  const bool isStarting = !instance.hasLogged && code == -SIGTERM;
+  const bool isPlanned = instance.stopRequestedAt && (code == 0 || isStarting);
   if (!isPlanned && !(instance.wasKilled && code == -SIGKILL)) {
     this->guarantees.reportViolation("runs_on",
                                      std::to_string(index) + " exited with " +
--- a/emulator/Instances.h
+++ b/emulator/Instances.h
@@ -27,6 +27,7 @@
   MilliTime startedAt{};
   std::optional<MilliTime> stopRequestedAt; ///< while a planned stop is active
   bool wasKilled = false;
+  bool hasLogged = false; ///< the present process has written a log line
   std::set<std::size_t> blockedPeers; ///< senders whose datagrams are dropped
   MilliDuration peerDelay{};          ///< delay of datagrams from peers
   std::string settingsFile;
