A flow tag names its target by id, and no flow is reset for a target that never answered

Cause: tags were made of a target's number, the digits of its id. While the registration of i- had expired, an instance that had just started listed another writer's entry x-, sent the target's flows to its address, where nothing listens, found it dead and reset them. The rule of the more common form of id needs both entries and could not help; with the target's entry coming one change later it refused the target itself.

Ruled out: the start time in the tag, since a target that starts again resets what it doesn't hold, at once.

Change: tags and the reports between instances use a hash of the id. Entries with one number are all kept, the later one takes no new flows until it answers a probe; the counting of forms of ids is gone. An entry with a process's start time and another address names no target. Flows of a silent target are reset only if this instance or a peer saw it answer. Two registry tests of the former rule ("one of them is forgotten") are replaced by three stricter ones: neither entry may affect the other, in either order.

--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -44,11 +44,13 @@
 toWire(const TargetReport& report)
 {
   fleetwire::TargetReport out;
-  out.number = static_cast<std::int64_t>(report.number);
+  out.target = static_cast<std::int32_t>(report.target);
   out.flows = report.flows;
   out.busy = report.busy;
   out.silentFlows = report.silentFlows;
-  out.sinceProgressMs = toWireMs(report.sinceProgress);
+  if (report.sinceProgress) {
+    out.__set_sinceProgressMs(toWireMs(*report.sinceProgress));
+  }
   out.dead = report.dead;
   return out;
 }
@@ -57,11 +59,13 @@
 fromWire(const fleetwire::TargetReport& in)
 {
   TargetReport out;
-  out.number = static_cast<std::uint64_t>(in.number);
+  out.target = static_cast<ShortTargetKey>(in.target);
   out.flows = std::max(in.flows, 0);
   out.busy = std::max(in.busy, 0);
   out.silentFlows = std::max(in.silentFlows, 0);
-  out.sinceProgress.ms = in.sinceProgressMs;
+  if (in.__isset.sinceProgressMs) {
+    out.sinceProgress = MilliDuration{ in.sinceProgressMs };
+  }
   out.dead = in.dead;
   return out;
 }
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -42,9 +42,9 @@
   {
     return this->messenger.takeOutgoing();
   }
-  /// \returns the numbers of the targets that peers of this instance's zone
+  /// \returns the short keys of the targets that peers of this instance's zone
   /// have reported dead since the last call.
-  std::vector<std::uint64_t> takeTargetsFoundDead()
+  std::vector<ShortTargetKey> takeTargetsFoundDead()
   {
     return this->reports.takeTargetsFoundDead();
   }
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -29,7 +29,7 @@
   MilliTime heardAt{}; ///< its last message, to this instance or to any peer
   ViewVersions view;
   bool wasLive = false; ///< at the last call of takeChanges()
-  boost::unordered_flat_map<std::uint64_t, ReceivedReport> reports;
+  boost::unordered_flat_map<ShortTargetKey, ReceivedReport> reports;
 };
 
 /// \brief A member that joined the fleet or was lost.
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -45,12 +45,14 @@
 /// \brief Load and health of one target as measured by one instance.
 struct TargetReport
 {
-  std::uint64_t number = 0; ///< number of the target
+  ShortTargetKey target = 0;
   std::int32_t flows = 0;
   std::int32_t busy = 0;
   std::int32_t silentFlows = 0;
-  MilliDuration sinceProgress{}; ///< time since TargetLoad::progressAt
-  bool dead = false;             ///< probes found that it does not answer
+  /// Time since TargetLoad::progressAt; nothing if the target was never
+  /// seen to answer.
+  std::optional<MilliDuration> sinceProgress;
+  bool dead = false; ///< probes found that it does not answer
 };
 
 /// \brief Full gossip entry of a member that the sender knows.
--- a/buckthornwing/src/Fleet/LoadReports.cpp
+++ b/buckthornwing/src/Fleet/LoadReports.cpp
@@ -18,7 +18,9 @@
 {
   report.flows = std::clamp(report.flows, 0, kMaxReportedLoad);
   report.busy = std::clamp(report.busy, 0, report.flows);
-  report.sinceProgress = std::max(report.sinceProgress, MilliDuration{});
+  if (report.sinceProgress) {
+    report.sinceProgress = std::max(*report.sinceProgress, MilliDuration{});
+  }
   return report;
 }
 
@@ -40,12 +42,13 @@
       this->nextTarget = slot;
       break;
     }
-    reports.push_back({ this->board.registry.at(slot).record.number,
-                        load.flows,
-                        load.busy,
-                        load.silentFlows,
-                        now - load.progressAt,
-                        isDead });
+    reports.push_back(
+      { this->board.registry.at(slot).key.shortened(),
+        load.flows,
+        load.busy,
+        load.silentFlows,
+        load.hasAnswered ? std::optional(now - load.progressAt) : std::nullopt,
+        isDead });
   }
   return reports;
 }
@@ -56,10 +59,10 @@
                      MilliTime now)
 {
   for (const TargetReport& report : body.reports) {
-    member.reports[report.number] =
+    member.reports[report.target] =
       ReceivedReport{ internal::limitToPlausible(report), now };
     if (report.dead && member.member.zone == this->board.settings.zone) {
-      this->foundDead.push_back(report.number);
+      this->foundDead.push_back(report.target);
     }
   }
 }
@@ -90,17 +93,20 @@
   boost::unordered::erase_if(member.reports, [now](const auto& entry) {
     return now - entry.second.at > internal::kReportLifetime;
   });
-  for (const auto& [number, received] : member.reports) {
-    const TargetSlot slot = this->board.registry.findNumber(number);
+  for (const auto& [target, received] : member.reports) {
+    const TargetSlot slot = this->board.registry.find(target);
     if (slot == kNoTargetSlot) {
       continue;
     }
     TargetLoad& load = this->board.observer.mutableLoad(slot);
     load.peerFlows += received.report.flows;
     load.peerBusy += received.report.busy;
-    const MilliTime progress{ received.at.ms -
-                              received.report.sinceProgress.ms };
-    load.peerProgressAt = std::max(load.peerProgressAt, progress);
+    if (received.report.sinceProgress) {
+      const MilliTime progress{ received.at.ms -
+                                received.report.sinceProgress->ms };
+      load.peerProgressAt = std::max(load.peerProgressAt, progress);
+      load.hasAnswered = true;
+    }
   }
 }
 
--- a/buckthornwing/src/Fleet/LoadReports.h
+++ b/buckthornwing/src/Fleet/LoadReports.h
@@ -29,9 +29,9 @@
   /// loads.
   void updatePeerLoads(FleetMembers& members, MilliTime now);
 
-  /// \returns the numbers of the targets that peers of this instance's zone
+  /// \returns the short keys of the targets that peers of this instance's zone
   /// have reported dead since the last call.
-  std::vector<std::uint64_t> takeTargetsFoundDead()
+  std::vector<ShortTargetKey> takeTargetsFoundDead()
   {
     return std::exchange(this->foundDead, {});
   }
@@ -39,7 +39,7 @@
 private:
   TagBlackboard& board;
   std::size_t nextTarget = 0; ///< slot at which the next reports begin
-  std::vector<std::uint64_t> foundDead;
+  std::vector<ShortTargetKey> foundDead;
 
   void addReports(KnownMember& member, MilliTime now);
 };
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -40,13 +40,14 @@
   11: optional i64 routesEra
 }
 
+// Field 1 was the target's number, which several entries may have.
 struct TargetReport {
-  1: i64 number
   2: i32 flows
   3: i32 busy
   4: i32 silentFlows
-  5: i32 sinceProgressMs
+  5: optional i32 sinceProgressMs // not set: the target was never seen to answer
   6: bool dead
+  7: i32 target // short hash of the target's id
 }
 
 struct Heartbeat {
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -101,6 +101,7 @@
 FlowObserver::recordProgress(TrackedFlow& flow, MilliTime now)
 {
   this->recordResponse(flow, now);
+  this->mutableLoad(flow.target).hasAnswered = true;
   if (!flow.busy) {
     return;
   }
@@ -157,6 +158,9 @@
     flow.nextSequence = packet.sequence;
     flow.acknowledged = packet.acknowledged;
     this->recordResponse(flow, now);
+    if (flow.openingSeen) {
+      this->mutableLoad(flow.target).hasAnswered = true;
+    }
     result = Observation::established;
   } else if (internal::isAfter(packet.acknowledged, flow.acknowledged)) {
     flow.acknowledged = packet.acknowledged;
@@ -184,6 +188,7 @@
   flow.target = target;
   flow.openedAt = now;
   flow.sentAt = now;
+  flow.openingSeen = packet.isOpening;
   const auto entered = this->flows.insert_or_assign(id, flow).first;
   ++this->mutableLoad(target).flows;
   if (packet.isOpening) {
--- a/buckthornwing/src/Observation/TargetLoad.h
+++ b/buckthornwing/src/Observation/TargetLoad.h
@@ -16,6 +16,10 @@
   double serviceMs = 0;   ///< moving mean of the service time
   /// Last time the target answered: a handshake, new response data or a probe.
   MilliTime progressAt{};
+  /// The target was seen to answer, by this instance or by a peer. \a
+  /// progressAt alone does not show that: a flow that was opened through
+  /// another instance may have had its answers long ago.
+  bool hasAnswered = false;
   std::int32_t silentFlows = 0;   ///< flows with unanswered retransmissions
   double peerFlows = 0;           ///< sum of the flows that peers reported
   double peerBusy = 0;            ///< sum of the busy flows that peers reported
--- a/buckthornwing/src/Observation/TrackedFlow.h
+++ b/buckthornwing/src/Observation/TrackedFlow.h
@@ -20,6 +20,7 @@
   TargetSlot target = kNoTargetSlot;
   FlowTag tag;
   RouteKind kind = RouteKind::idempotent;
+  bool openingSeen = false; ///< its opening passed through this instance
   bool established = false; ///< the caller completed the handshake
   bool busy = false;        ///< a request is in progress or expected
   bool closed = false;      ///< kept to recognize packets after its end
--- a/buckthornwing/src/Steering/FlowResetController.cpp
+++ b/buckthornwing/src/Steering/FlowResetController.cpp
@@ -15,6 +15,9 @@
   std::vector<FlowId> ids;
   const bool hasLeft =
     this->board.registry.at(target).presence == TargetPresence::gone;
+  if (!hasLeft && !this->board.hasAnswered(target)) {
+    return resetFlows;
+  }
   for (const auto& [id, flow] : this->board.observer.all()) {
     const bool benefits =
       benefitsFromReset(flow) || (hasLeft && flow.established);
--- a/buckthornwing/src/Steering/FlowResetController.h
+++ b/buckthornwing/src/Steering/FlowResetController.h
@@ -32,7 +32,8 @@
   /// A flow whose request is not idempotent stays until the registry reports
   /// the target as gone, because the answer may still arrive. A flow that is
   /// not established needs no reset: the next copy of its opening is placed on
-  /// another target.
+  /// another target. Flows of a target that was never seen to answer stay until
+  /// it is gone, too.
   std::vector<FlowToReset> resetFlowsOf(TargetSlot target);
 
 private:
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -202,7 +202,9 @@
 void
 HealthController::onAnswer(TargetSlot target, MilliTime now)
 {
-  this->board.observer.mutableLoad(target).progressAt = now;
+  TargetLoad& load = this->board.observer.mutableLoad(target);
+  load.progressAt = now;
+  load.hasAnswered = true;
   this->onProgress(target, now);
 }
 
@@ -351,7 +353,7 @@
   const TargetHealth& health = this->board.health[slot];
   const KnownTarget& target = this->board.registry.at(slot);
   const bool isWanted =
-    health.state != HealthState::trusted || target.isRenewedByAnswer;
+    health.state != HealthState::trusted || target.needsAnswer();
   if (isWanted && !health.probing && now >= health.nextProbeAt && target.used &&
       target.presence != TargetPresence::gone) {
     this->requestProbe(slot, now);
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -35,7 +35,7 @@
 std::uint64_t
 rendezvousScore(FlowId flow, const KnownTarget& target)
 {
-  return mixWords(flow.bits, target.record.number);
+  return mixWords(flow.bits, target.key.bits);
 }
 
 double
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -248,7 +248,8 @@
     decision.reason = SteeringReason::tagged;
     return decision;
   }
-  decision.outcome = SteeringOutcome::reset;
+  const bool isProven = isGone || this->board.hasAnswered(decision.target);
+  decision.outcome = isProven ? SteeringOutcome::reset : SteeringOutcome::drop;
   decision.reason =
     isGone ? SteeringReason::targetGone : SteeringReason::targetSilent;
   return decision;
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -131,6 +131,14 @@
     return std::max(load.progressAt, load.peerProgressAt);
   }
 
+  /// \returns whether this instance or a peer ever saw the target answer. If
+  /// not, another writer may have made its entry, and what was probed at its
+  /// address is not the target of its flows.
+  bool hasAnswered(TargetSlot target) const
+  {
+    return this->observer.load(target).hasAnswered;
+  }
+
   /// \returns the highest known era of the store.
   StoreEra knownEra() const { return this->storeEra.value_or(0); }
 
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -167,8 +167,8 @@
 TagEngine::onFleetMessage(const FleetMessage& message, MilliTime now)
 {
   this->fleet.onMessage(message, now);
-  for (const std::uint64_t number : this->fleet.takeTargetsFoundDead()) {
-    const TargetSlot slot = this->state.registry.findNumber(number);
+  for (const ShortTargetKey target : this->fleet.takeTargetsFoundDead()) {
+    const TargetSlot slot = this->state.registry.find(target);
     if (slot != kNoTargetSlot) {
       this->health.onPeerFoundDead(slot, now);
     }
--- a/buckthornwing/src/Tagging/FlowTag.cpp
+++ b/buckthornwing/src/Tagging/FlowTag.cpp
@@ -9,20 +9,20 @@
 }
 
 std::uint32_t
-TagScheme::fingerprint(std::uint64_t targetNumber) const
+TagScheme::fingerprint(TargetKey target) const
 {
-  const std::uint64_t mixed = mixWords(targetNumber, this->secret);
+  const std::uint64_t mixed = mixWords(target.bits, this->secret);
   return static_cast<std::uint32_t>(mixed >> (64 - internal::kFingerprintBits));
 }
 
 FlowTag
-TagScheme::mint(const FlowKey& flow, std::uint64_t targetNumber) const
+TagScheme::mint(const FlowKey& flow, TargetKey target) const
 {
   const std::uint64_t flowBits = flowIdOf(flow, this->secret).bits;
-  const std::uint64_t mixed = mixWords(flowBits, targetNumber ^ this->secret);
+  const std::uint64_t mixed = mixWords(flowBits, target.bits ^ this->secret);
   const auto check =
     static_cast<std::uint32_t>(1 + mixed % internal::kCheckValues);
-  return FlowTag{ this->fingerprint(targetNumber) << kTagCheckBits | check };
+  return FlowTag{ this->fingerprint(target) << kTagCheckBits | check };
 }
 
 }
--- a/buckthornwing/src/Tagging/FlowTag.h
+++ b/buckthornwing/src/Tagging/FlowTag.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_FLOW_TAG_H
 
 #include "../Core/FlowKey.h"
+#include "../View/TargetRecord.h"
 
 #include <cstdint>
 
@@ -11,8 +12,8 @@
 /// the flow after the opening.
 ///
 /// With it any instance can forward any packet without state of the flow. The
-/// upper 20 bits are a fingerprint of the target, the lower 12 bits a keyed
-/// check value over flow and target, which is never 0.
+/// upper 20 bits are a fingerprint of the target's key, the lower 12 bits a
+/// keyed check value over flow and key, which is never 0.
 struct FlowTag
 {
   std::uint32_t bits = 0; ///< 0 if there is no tag
@@ -34,17 +35,15 @@
   }
 
   /// \returns the upper bits of all tags that identify a target.
-  std::uint32_t fingerprint(std::uint64_t targetNumber) const;
+  std::uint32_t fingerprint(TargetKey target) const;
 
   /// \returns the tag that binds a flow to a target.
-  FlowTag mint(const FlowKey& flow, std::uint64_t targetNumber) const;
+  FlowTag mint(const FlowKey& flow, TargetKey target) const;
 
   /// \returns whether a tag was created for this flow and this target.
-  bool matches(FlowTag tag,
-               const FlowKey& flow,
-               std::uint64_t targetNumber) const
+  bool matches(FlowTag tag, const FlowKey& flow, TargetKey target) const
   {
-    return this->mint(flow, targetNumber) == tag;
+    return this->mint(flow, target) == tag;
   }
 
 private:
--- a/buckthornwing/src/Tagging/TagIndex.cpp
+++ b/buckthornwing/src/Tagging/TagIndex.cpp
@@ -9,8 +9,9 @@
   const auto targets = registry.targets();
   for (TargetSlot slot = 0; slot < targets.size(); ++slot) {
     if (targets[slot].used) {
-      const std::uint64_t number = targets[slot].record.number;
-      this->byFingerprint[this->scheme.fingerprint(number)].push_back(slot);
+      const std::uint32_t fingerprint =
+        this->scheme.fingerprint(targets[slot].key);
+      this->byFingerprint[fingerprint].push_back(slot);
     }
   }
 }
@@ -26,8 +27,7 @@
   }
   TargetSlot match = kNoTargetSlot;
   for (const TargetSlot slot : found->second) {
-    const std::uint64_t number = registry.at(slot).record.number;
-    if (!this->scheme.matches(tag, flow, number)) {
+    if (!this->scheme.matches(tag, flow, registry.at(slot).key)) {
       continue;
     }
     if (match != kNoTargetSlot) {
@@ -43,7 +43,7 @@
                const FlowKey& flow,
                TargetSlot slot) const
 {
-  const FlowTag tag = this->scheme.mint(flow, registry.at(slot).record.number);
+  const FlowTag tag = this->scheme.mint(flow, registry.at(slot).key);
   return this->find(registry, tag, flow) == slot ? tag : FlowTag{};
 }
 
--- a/buckthornwing/src/View/TargetRecord.h
+++ b/buckthornwing/src/View/TargetRecord.h
@@ -2,21 +2,52 @@
 #define BUCKTHORNWING_TARGET_RECORD_H
 
 #include "../Config/Configuration.h"
+#include "../Core/Hash.h"
 #include "../Core/MilliTime.h"
 #include "StorePosition.h"
 
+#include <compare>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace buckthornwing {
 
+/// \brief Short name of a target in reports between instances. Two of 3,000
+/// targets share one with a probability of 1 in 1,000; their loads are then
+/// taken for each other's.
+using ShortTargetKey = std::uint32_t;
+
+/// \brief Identifies a target in flow tags: a hash of its id.
+///
+/// Entries of several ids may have one TargetRecord::number, but not one key.
+struct TargetKey
+{
+  std::uint64_t bits = 0;
+
+  auto operator<=>(const TargetKey&) const = default;
+
+  ShortTargetKey shortened() const
+  {
+    return static_cast<ShortTargetKey>(this->bits >> 32);
+  }
+};
+
+/// \returns the key of the target with an id.
+inline TargetKey
+targetKeyOf(std::string_view id)
+{
+  return TargetKey{ hashText(id) };
+}
+
 /// \brief Registration of a backend server.
 struct TargetRecord
 {
   std::string id;
   /// Number of the target, which is sent with each forwarded packet. A target
   /// drops packets with another number, so packets are not delivered to a new
-  /// target that reuses the address.
+  /// target that reuses the address. An entry of another writer may have the
+  /// number of a target.
   std::uint64_t number = 0;
   Endpoint address;
   std::string zone;
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -20,25 +20,18 @@
 std::uint64_t
 digestOf(const KnownTarget& target)
 {
-  return mixWords(hashText(target.record.id), target.version.revision);
+  return mixWords(target.key.bits, target.version.revision);
 }
 
-/// \returns an id with each digit after its last dash replaced by 0. The ids of
-/// a deployment's targets are made alike, those of other writers are not.
-std::string
-idForm(std::string_view id)
+/// \returns whether an entry can't be the one that a target writes: it has the
+/// start time of the known process and another address, or none although the
+/// process wrote it before. A process keeps its address.
+bool
+contradicts(const TargetRecord& entry, const TargetRecord& known)
 {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  const std::size_t dash = id.rfind('-');
-  std::string form(id);
-  for (std::size_t i = dash == std::string_view::npos ? 0 : dash + 1;
-       i < form.size();
-       ++i) {
-    if (kDigits.find(form[i]) != std::string_view::npos) {
-      form[i] = '0';
-    }
-  }
-  return form;
+  const bool isSameStart = entry.incarnation == known.incarnation;
+  return known.incarnation != 0 && entry.address != known.address &&
+         (isSameStart || entry.incarnation == 0);
 }
 
 }
@@ -51,29 +44,41 @@
 }
 
 TargetSlot
-TargetRegistry::findNumber(std::uint64_t number) const
+TargetRegistry::find(ShortTargetKey key) const
 {
-  const auto found = this->byNumber.find(number);
-  return found == this->byNumber.end() ? kNoTargetSlot : found->second;
+  const auto found = this->byShortKey.find(key);
+  return found == this->byShortKey.end() ? kNoTargetSlot : found->second;
 }
 
 TargetSlot
-TargetRegistry::slotFor(const std::string& id)
+TargetRegistry::add(const TargetChange& change)
 {
-  const auto [entry, isNew] = this->byId.try_emplace(id, kNoTargetSlot);
-  if (!isNew) {
-    return entry->second;
-  }
+  TargetSlot slot = static_cast<TargetSlot>(this->known.size());
   if (this->freeSlots.empty()) {
-    entry->second = static_cast<TargetSlot>(this->known.size());
     this->known.emplace_back();
   } else {
-    entry->second = this->freeSlots.back();
+    slot = this->freeSlots.back();
     this->freeSlots.pop_back();
-    this->known[entry->second] = KnownTarget{};
+    this->known[slot] = KnownTarget{};
+  }
+  KnownTarget& target = this->known[slot];
+  target.used = true;
+  target.key = targetKeyOf(change.id);
+  this->byId[change.id] = slot;
+  this->byShortKey[target.key.shortened()] = slot;
+  target.record.number = change.record.number;
+  target.isUnproven = ++this->idsByNumber[change.record.number] > 1;
+  this->conflicts += target.isUnproven ? 1 : 0;
+  return slot;
+}
+
+void
+TargetRegistry::releaseNumber(const KnownTarget& target)
+{
+  const auto ids = this->idsByNumber.find(target.record.number);
+  if (--ids->second == 0) {
+    this->idsByNumber.erase(ids);
   }
-  this->known[entry->second].used = true;
-  return entry->second;
 }
 
 void
@@ -81,6 +86,8 @@
                      const TargetChange& change,
                      MilliTime now)
 {
+  this->releaseNumber(target);
+  ++this->idsByNumber[change.record.number];
   target.record = change.record;
   target.presence = TargetPresence::listed;
   target.changedAt = now;
@@ -114,16 +121,26 @@
   target.isRenewedByAnswer = target.awaitsRenewal && hasVanished;
 }
 
+void
+TargetRegistry::onUnreadable(KnownTarget& target)
+{
+  target.record.state = TargetState::draining;
+  target.awaitsRenewal = false;
+}
+
 bool
 TargetRegistry::onAnswer(TargetSlot slot)
 {
   KnownTarget& target = this->known[slot];
-  if (!target.used || !target.awaitsRenewal || !target.isRenewedByAnswer) {
+  if (!target.used || !target.needsAnswer()) {
     return false;
   }
-  target.awaitsRenewal = false;
-  target.isRenewedByAnswer = false;
-  target.wasDraining = false;
+  if (target.isRenewedByAnswer) {
+    target.awaitsRenewal = false;
+    target.isRenewedByAnswer = false;
+    target.wasDraining = false;
+  }
+  target.isUnproven = false;
   return true;
 }
 
@@ -139,46 +156,6 @@
   target.changedAt = now;
 }
 
-void
-TargetRegistry::countForms(std::span<const TargetChange> listed)
-{
-  this->byForm.clear();
-  for (const auto& [id, slot] : this->byId) {
-    ++this->byForm[internal::idForm(id)];
-  }
-  for (const TargetChange& change : listed) {
-    if (change.kind == ChangeKind::listed && !this->byId.contains(change.id)) {
-      ++this->byForm[internal::idForm(change.id)];
-    }
-  }
-}
-
-std::size_t
-TargetRegistry::countForm(std::string_view id) const
-{
-  const auto found = this->byForm.find(internal::idForm(id));
-  return found == this->byForm.end() ? 0 : found->second;
-}
-
-bool
-TargetRegistry::claimNumber(const TargetChange& change,
-                            std::vector<TargetSlot>& changed)
-{
-  const TargetSlot holder = this->findNumber(change.record.number);
-  if (holder == kNoTargetSlot) {
-    return true;
-  }
-  ++this->conflicts;
-  if (this->countForm(change.id) <=
-      this->countForm(this->known[holder].record.id)) {
-    return false;
-  }
-  this->forget(holder);
-  this->replacedSlots.push_back(holder);
-  changed.push_back(holder);
-  return true;
-}
-
 bool
 TargetRegistry::hasLeftSince(const Source& source,
                              const TargetChange& change) const
@@ -197,14 +174,10 @@
   const bool isNew = slot == kNoTargetSlot;
   if (isNew) {
     if (change.kind != ChangeKind::listed ||
-        this->hasLeftSince(source, change) ||
-        !this->claimNumber(change, changed)) {
+        this->hasLeftSince(source, change)) {
       return;
     }
-    if (!source.isListing) {
-      ++this->byForm[internal::idForm(change.id)];
-    }
-    slot = this->slotFor(change.id);
+    slot = this->add(change);
   }
   KnownTarget& target = this->known[slot];
   if (change.version <= target.version) {
@@ -215,16 +188,16 @@
   target.version = change.version;
   switch (change.kind) {
     case ChangeKind::listed:
-      if (isRestored) {
+      if (!isNew && internal::contradicts(change.record, target.record)) {
+        this->onUnreadable(target);
+      } else if (isRestored) {
         this->restore(target, change, now);
       } else {
         this->list(target, change, now);
       }
-      this->byNumber[target.record.number] = slot;
       break;
     case ChangeKind::unreadable:
-      target.record.state = TargetState::draining;
-      target.awaitsRenewal = false;
+      this->onUnreadable(target);
       break;
     case ChangeKind::gone:
       this->remove(target, now);
@@ -243,11 +216,6 @@
     this->newestChange = std::max(this->newestChange, change.version);
     this->apply(change, source, now, changed);
   }
-  // A slot is not reused before its users have been told that it changed.
-  this->freeSlots.insert(this->freeSlots.end(),
-                         this->replacedSlots.begin(),
-                         this->replacedSlots.end());
-  this->replacedSlots.clear();
   return changed;
 }
 
@@ -279,7 +247,6 @@
 std::vector<TargetSlot>
 TargetRegistry::applyListing(const TargetListing& listing, MilliTime now)
 {
-  this->countForms(listing.listed);
   const bool isNewEra =
     this->loaded() && listing.asOf.era > this->position().era;
   const ChangeVersion listedAt{ listing.asOf.era, listing.asOf.revision };
@@ -399,10 +366,11 @@
   KnownTarget& target = this->known[slot];
   this->newestForgotten = std::max(this->newestForgotten, target.version);
   this->byId.erase(target.record.id);
-  const auto numbered = this->byNumber.find(target.record.number);
-  if (numbered != this->byNumber.end() && numbered->second == slot) {
-    this->byNumber.erase(numbered);
+  const auto named = this->byShortKey.find(target.key.shortened());
+  if (named != this->byShortKey.end() && named->second == slot) {
+    this->byShortKey.erase(named);
   }
+  this->releaseNumber(target);
   target.used = false;
 }
 
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -28,6 +28,7 @@
 struct KnownTarget
 {
   TargetRecord record;
+  TargetKey key;
   ChangeVersion version; ///< of its last change
   TargetPresence presence = TargetPresence::gone;
   MilliTime changedAt{};    ///< last change of presence, or last listing
@@ -40,12 +41,22 @@
   /// It awaits renewal because it had left, without draining. An answer to a
   /// probe shows that it has not.
   bool isRenewedByAnswer = false;
+  /// Another target that was known before has its number, so one of the two
+  /// entries names no target. It takes no new flows until it answers a probe.
+  bool isUnproven = false;
+
+  /// \returns whether an answer to a probe would let it take new flows.
+  bool needsAnswer() const
+  {
+    return this->isRenewedByAnswer || this->isUnproven;
+  }
 
   /// \returns whether new flows may be assigned to it.
   bool takesNewFlows() const
   {
     return this->used && this->presence != TargetPresence::gone &&
-           this->record.state == TargetState::serving && !this->awaitsRenewal;
+           this->record.state == TargetState::serving && !this->awaitsRenewal &&
+           !this->isUnproven;
   }
 };
 
@@ -83,9 +94,8 @@
 /// \brief All targets that flows may belong to, with the position in the
 /// store's history up to which their changes have been applied.
 ///
-/// Packets carry a target's number, so a second entry with it would take over
-/// the target's flows. Only one of them is kept: the one whose id has the more
-/// common form, or the first one.
+/// Targets are told apart by their ids. Entries of two ids may have one number,
+/// if another writer made one of them; see KnownTarget::isUnproven.
 ///
 /// A target's versions only increase: a change is ignored unless its version is
 /// above that of the target's last change. The position is raised only by lists
@@ -113,7 +123,7 @@
   std::vector<TargetSlot> applyListing(const TargetListing& listing,
                                        MilliTime now);
 
-  /// \brief Ends the wait for a target's renewal after it has answered a probe.
+  /// \brief Ends the wait for a target's answer after it has answered a probe.
   /// \returns whether the target changed
   bool onAnswer(TargetSlot slot);
 
@@ -141,8 +151,8 @@
   /// \returns the lowest position that is known to have the same content as
   /// position(). Unlike that, it does not rise while the targets don't change.
   StorePosition contentPosition() const;
-  /// \returns the number of entries that were ignored because another target
-  /// has their number.
+  /// \returns the number of entries that were listed while another target had
+  /// their number.
   std::uint64_t numberConflicts() const { return this->conflicts; }
   /// \returns the time of the last known failure of the store.
   MilliTime lastStoreFailure() const { return this->lastFailureAt; }
@@ -153,8 +163,8 @@
   const KnownTarget& at(TargetSlot slot) const { return this->known[slot]; }
   /// \returns the target with an id, or kNoTargetSlot.
   TargetSlot find(std::string_view id) const;
-  /// \returns the target with a number, or kNoTargetSlot.
-  TargetSlot findNumber(std::uint64_t number) const;
+  /// \returns the target with a short key, or kNoTargetSlot.
+  TargetSlot find(ShortTargetKey key) const;
 
   /// \returns all changes since a position; a complete list if there is none,
   /// if it is of another era, or if the tombstone of a later removal was
@@ -170,12 +180,9 @@
 private:
   std::vector<KnownTarget> known;
   std::vector<TargetSlot> freeSlots;
-  std::vector<TargetSlot> replacedSlots; ///< freed by the present changes
   std::map<std::string, TargetSlot, std::less<>> byId;
-  std::map<std::uint64_t, TargetSlot> byNumber;
-  /// Number of entries with ids of each form, see idForm(): those known at the
-  /// last complete list, and new ones since.
-  std::map<std::string, std::size_t> byForm;
+  std::map<ShortTargetKey, TargetSlot> byShortKey;
+  std::map<std::uint64_t, std::size_t> idsByNumber; ///< count for each number
   std::optional<StorePosition> asOf;
   ChangeVersion newestChange;
   ChangeVersion newestForgotten; ///< of the newest deleted tombstone
@@ -184,15 +191,9 @@
   MilliTime lastFailureAt{ -1000000 };
   MilliTime firstLoadedAt{};
 
-  TargetSlot slotFor(const std::string& id);
-  /// \brief Finds out whether a new entry may have its number. Another target
-  /// with the number whose id has a rarer form is forgotten.
-  /// \param changed receives the slot of that target
-  bool claimNumber(const TargetChange& change,
-                   std::vector<TargetSlot>& changed);
-  /// \brief Counts the forms of all known ids and those of a complete list.
-  void countForms(std::span<const TargetChange> listed);
-  std::size_t countForm(std::string_view id) const;
+  /// \brief Adds a target that was not known before.
+  TargetSlot add(const TargetChange& change);
+  void releaseNumber(const KnownTarget& target);
   void advance(const StorePosition& newPosition, MilliTime now);
   /// \brief How changes were received.
   struct Source
@@ -213,6 +214,8 @@
                                    const Source& source,
                                    MilliTime now);
   void list(KnownTarget& target, const TargetChange& change, MilliTime now);
+  /// \brief Ends new flows to a target whose entry names no target any more.
+  static void onUnreadable(KnownTarget& target);
   /// \brief Applies a target's entry in an older copy of the store.
   void restore(KnownTarget& target, const TargetChange& change, MilliTime now);
   void remove(KnownTarget& target, MilliTime now);
--- a/fuzz/entries.cpp
+++ b/fuzz/entries.cpp
@@ -82,10 +82,15 @@
 {
   const TargetRegistry& registry = engine.board().registry;
   const TargetSlot slot = registry.find("i-00000001");
-  if (slot == kNoTargetSlot || registry.findNumber(1) != slot ||
-      !registry.at(slot).takesNewFlows()) {
+  if (slot == kNoTargetSlot || !registry.at(slot).takesNewFlows()) {
     std::abort();
   }
+  for (TargetSlot other = 0; other < registry.targets().size(); ++other) {
+    const KnownTarget& target = registry.at(other);
+    if (other != slot && target.record.number == 1 && target.takesNewFlows()) {
+      std::abort();
+    }
+  }
   CallerPacket packet;
   packet.flow = *parseFlowKey("tcp 100.64.0.7:40001 198.18.0.1:443");
   packet.isOpening = true;
--- a/test/platform/StoreFleet.h
+++ b/test/platform/StoreFleet.h
@@ -50,7 +50,7 @@
 
   /// \brief Advances the time by one step, in which stores are read, messages
   /// are delivered and probes are answered.
-  /// \param isAlive whether the target with a number answers probes
+  /// \param isAlive whether a probe of a target's address is answered
   template<typename IsAlive>
   void step(const IsAlive& isAlive)
   {
@@ -63,10 +63,9 @@
       this->stepReader(address, targets);
       this->stepReader(address, routes);
       for (const TargetSlot slot : engine->takeProbes()) {
-        const std::uint64_t number =
-          engine->board().registry.at(slot).record.number;
+        const TargetRecord& record = engine->board().registry.at(slot).record;
         engine->onProbeResult(slot,
-                              isAlive(number) ? ProbeResult::alive
+                              isAlive(record) ? ProbeResult::alive
                                               : ProbeResult::refused,
                               this->now);
       }
--- a/test/platform/histories.cpp
+++ b/test/platform/histories.cpp
@@ -387,11 +387,8 @@
         this->fleet.store.put(prefix + "i-5 a&b#c%", "\xff{");
         break;
       case 1:
-        // Another writer's entry with the number of a target. Without the
-        // target's own entry, a new instance can't tell whose number it is.
-        if (this->fleet.store.find(prefix + "i-" + number)) {
-          this->fleet.store.put(prefix + "x-" + number, entryOf(odd));
-        }
+        // Another writer's entry with the number of a target.
+        this->fleet.store.put(prefix + "x-" + number, entryOf(odd));
         break;
       case 2:
         this->fleet.store.remove(prefix + "x-" + number);
@@ -411,6 +408,14 @@
     });
   }
 
+  /// \returns the target that an entry names, or a null pointer if it is
+  /// another writer's.
+  const ModelTarget* find(const TargetRecord& record) const
+  {
+    const bool isOwn = record.id == "i-" + hexDigits(record.number);
+    return isOwn ? this->find(record.number) : nullptr;
+  }
+
   const ModelTarget* find(std::uint64_t number) const
   {
     for (const ModelTarget& target : this->targets) {
@@ -425,8 +430,8 @@
   {
     const MilliTime end = this->fleet.now + span;
     while (this->fleet.now < end) {
-      this->fleet.step([this](std::uint64_t number) {
-        const ModelTarget* target = this->find(number);
+      this->fleet.step([this](const TargetRecord& record) {
+        const ModelTarget* target = this->find(record);
         return target != nullptr && target->isRunning;
       });
       this->recordDisruptions();
@@ -478,9 +483,10 @@
     if (placed.outcome != SteeringOutcome::forward) {
       return;
     }
-    const std::uint64_t number =
-      engine.board().registry.at(placed.target).record.number;
-    const ModelTarget* target = this->find(number);
+    const TargetRecord& record =
+      engine.board().registry.at(placed.target).record;
+    const std::uint64_t number = record.number;
+    const ModelTarget* target = this->find(record);
     if (target == nullptr || !target->isRunning) {
       return;
     }
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -81,6 +81,18 @@
   return change;
 }
 
+/// \returns another writer's entry with a target's number, at an address where
+/// nothing listens.
+inline TargetChange
+oddEntry(std::uint64_t number, std::uint64_t revision)
+{
+  TargetChange change = listed(number, revision);
+  change.id = "x-" + std::to_string(number);
+  change.record.id = change.id;
+  change.record.address = *parseEndpoint("10.0.9.9:9");
+  return change;
+}
+
 /// \returns the removal of a target from the registry.
 inline TargetChange
 gone(std::uint64_t number, std::uint64_t revision)
--- a/test/tag/fleet.cpp
+++ b/test/tag/fleet.cpp
@@ -283,7 +283,7 @@
 Test(load_reports, negative_loads_attract_no_flows)
 {
   TargetReport report;
-  report.number = 1;
+  report.target = targetKeyOf("t-1").shortened();
   report.flows = -1000000;
   report.busy = -1000000;
   report.sinceProgress = MilliDuration{ -5000 };
@@ -297,7 +297,7 @@
 Test(load_reports, a_huge_load_affects_only_its_own_target)
 {
   TargetReport report;
-  report.number = 1;
+  report.target = targetKeyOf("t-1").shortened();
   report.flows = std::numeric_limits<std::int32_t>::max();
   report.busy = std::numeric_limits<std::int32_t>::max();
   const auto placed = placeFlowsWithPeerReport(report);
@@ -317,11 +317,13 @@
   message.sender.zone = "a";
   message.sender.address = *parseEndpoint("127.0.0.1:9");
   FleetHeartbeat heartbeat;
-  heartbeat.reports = { { 1, 50, 20, 0, {}, false } };
+  heartbeat.reports = {
+    { targetKeyOf("t-1").shortened(), 50, 20, 0, {}, false }
+  };
   message.body = heartbeat;
   world.engine.onFleetMessage(message, world.now);
   world.run(400_ms);
-  const TargetSlot slot = world.engine.board().registry.findNumber(1);
+  const TargetSlot slot = world.engine.board().registry.find("t-1");
   cr_assert_gt(world.engine.board().observer.load(slot).peerBusy, 10);
   world.run(3_s);
   cr_assert_eq(world.engine.board().observer.load(slot).peerBusy, 0);
--- a/test/tag/health.cpp
+++ b/test/tag/health.cpp
@@ -24,12 +24,15 @@
 }
 
 /// \brief Reports a result of each requested probe.
-void
+/// \returns the number of these probes
+std::size_t
 reportProbes(EngineFixture& world, ProbeResult result)
 {
-  for (const TargetSlot slot : world.engine.takeProbes()) {
+  const auto probes = world.engine.takeProbes();
+  for (const TargetSlot slot : probes) {
     world.engine.onProbeResult(slot, result, world.now);
   }
+  return probes.size();
 }
 
 }
@@ -236,7 +239,7 @@
     message.sender.address = *parseEndpoint("127.0.0.1:9");
     FleetHeartbeat beat;
     TargetReport report;
-    report.number = world.engine.board().registry.at(slot).record.number;
+    report.target = world.engine.board().registry.at(slot).key.shortened();
     report.dead = true;
     beat.reports.push_back(report);
     message.body = beat;
@@ -335,6 +338,42 @@
   cr_assert(world.engine.takeFlowsToReset().empty());
 }
 
+/// Guards against resets of a living target's flows by an instance that lists
+/// another writer's entry at the target's own key.
+Test(health, a_target_that_was_never_seen_to_answer_loses_no_open_flow)
+{
+  EngineFixture before(1);
+  const auto placed = before.open(flowOf(1));
+  EngineFixture world(1, {}, "entry-2", 2);
+  const auto packet = flowPacket(flowOf(1), placed.tag, 1000, 1, 100);
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(world.send(packet).outcome != SteeringOutcome::reset);
+    world.run(100_ms);
+    reportProbes(world, ProbeResult::refused);
+    cr_assert(world.engine.takeFlowsToReset().empty());
+  }
+  cr_assert(world.engine.board().healthState(0) == HealthState::dead);
+  const TargetChange end = gone(1, 300);
+  changeTargets(world.engine, 300, std::span(&end, 1), world.now);
+  cr_assert(world.send(packet).outcome == SteeringOutcome::reset);
+}
+
+Test(health, a_target_that_shares_its_number_is_probed_until_it_answers)
+{
+  EngineFixture world(2);
+  const TargetChange odd = oddEntry(2, 101);
+  changeTargets(world.engine, 101, std::span(&odd, 1), world.now);
+  const TargetSlot slot = world.engine.board().registry.find("x-2");
+  world.run(1100_ms);
+  cr_assert_eq(reportProbes(world, ProbeResult::refused), 1);
+  cr_assert_not(world.engine.board().registry.at(slot).takesNewFlows());
+  world.run(1100_ms);
+  cr_assert_eq(reportProbes(world, ProbeResult::alive), 1);
+  cr_assert(world.engine.board().registry.at(slot).takesNewFlows());
+  world.run(2200_ms);
+  cr_assert(world.engine.takeProbes().empty());
+}
+
 Test(health, a_copy_of_an_opening_to_a_dead_target_goes_to_another)
 {
   EngineFixture world(2);
--- a/test/tag/steering.cpp
+++ b/test/tag/steering.cpp
@@ -217,6 +217,35 @@
   }
 }
 
+/// Guards against resets of a living target's flows: while its registration had
+/// expired, an instance that had just started sent them to another writer's
+/// entry with the target's number, found nobody there, and reset them.
+Test(steering,
+     an_entry_with_the_number_of_an_unlisted_target_gets_no_flow_of_it)
+{
+  EngineFixture before(5);
+  unsigned client = 0;
+  SteeringDecision placed = before.open(flowOf(client));
+  while (before.idOf(placed) != "t-5") {
+    placed = before.open(flowOf(++client));
+  }
+  EngineFixture after(4, {}, "entry-2", 2);
+  changeTargets(after.engine, 101, std::vector{ oddEntry(5, 101) }, after.now);
+  const auto packet = flowPacket(flowOf(client), placed.tag, 1000, 1, 100);
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(after.send(packet).outcome == SteeringOutcome::hold);
+    after.run(100_ms);
+    for (const TargetSlot slot : after.engine.takeProbes()) {
+      after.engine.onProbeResult(slot, ProbeResult::refused, after.now);
+    }
+    cr_assert(after.engine.takeFlowsToReset().empty());
+  }
+  changeTargets(after.engine, 102, std::vector{ listed(5, 102) }, after.now);
+  const SteeringDecision decision = after.send(packet);
+  cr_assert(decision.outcome == SteeringOutcome::forward);
+  cr_assert_eq(after.idOf(decision), "t-5");
+}
+
 Test(steering, an_unknown_target_requests_a_listing_once_a_second)
 {
   EngineFixture world;
@@ -359,7 +388,7 @@
                                            listed(2, 2, "booking", "b") };
   publishRoutes(engine, twoRoutes(1), now);
   listTargets(engine, 100, targets, now);
-  const TargetSlot far = engine.board().registry.findNumber(2);
+  const TargetSlot far = engine.board().registry.find("t-2");
   unsigned client = 0;
   while (engine.onPacket(opening(flowOf(client)), now).target != far) {
     ++client;
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -6,6 +6,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <set>
 
 using namespace buckthornwing;
 using namespace buckthornwing::literals;
@@ -153,48 +154,85 @@
   cr_assert_neq(registry.find("t-1"), kNoTargetSlot);
 }
 
-/// Guards against an entry of another writer that takes over a target's flows:
-/// it was registered while the target's own registration had expired.
-Test(registry, a_number_belongs_to_the_id_of_the_more_common_form)
+/// Guards against an entry of another writer that takes over a target's number,
+/// whichever of the two was registered first.
+Test(registry, of_two_entries_with_a_number_the_later_one_must_answer_first)
 {
-  TargetRegistry registry;
-  TargetChange odd = listed(3, 1);
-  odd.id = "x-3";
-  odd.record.id = odd.id;
-  const std::vector<TargetChange> entries{ odd, listed(4, 2), listed(5, 3) };
-  registry.applyListing({ positionAt(3), entries }, MilliTime{ 1 });
-  cr_assert_neq(registry.find("x-3"), kNoTargetSlot);
-  const auto changed =
-    applyUpTo(registry, 4, std::vector{ listed(3, 4) }, MilliTime{ 2 });
-  cr_assert_eq(changed.size(), 2, "the other entry is forgotten");
-  cr_assert_eq(registry.find("x-3"), kNoTargetSlot);
-  cr_assert_eq(registry.at(registry.findNumber(3)).record.id, "t-3");
-  odd.version.revision = 5;
-  cr_assert(applyUpTo(registry, 5, std::vector{ odd }, MilliTime{ 3 }).empty());
-  const std::vector<TargetChange> later{
-    odd, listed(4, 2), listed(5, 3), listed(3, 4)
-  };
-  TargetRegistry fresh;
-  fresh.applyListing({ positionAt(5), later }, MilliTime{ 1 });
-  cr_assert_eq(fresh.at(fresh.findNumber(3)).record.id, "t-3");
+  for (const bool isOddFirst : { false, true }) {
+    TargetRegistry registry;
+    const TargetChange first = isOddFirst ? oddEntry(3, 1) : listed(3, 1);
+    const TargetChange second = isOddFirst ? listed(3, 4) : oddEntry(3, 4);
+    const std::vector<TargetChange> entries{ first, listed(4, 2) };
+    registry.applyListing({ positionAt(3), entries }, MilliTime{ 1 });
+    const auto changed =
+      applyUpTo(registry, 4, std::vector{ second }, MilliTime{ 2 });
+    cr_assert_eq(changed.size(), 1, "the other entry is as it was");
+    const TargetSlot slot = registry.find(second.id);
+    cr_assert(registry.at(registry.find(first.id)).takesNewFlows());
+    cr_assert_not(registry.at(slot).takesNewFlows());
+    cr_assert(registry.at(slot).needsAnswer());
+    TargetChange renewed = second;
+    renewed.version.revision = 5;
+    applyUpTo(registry, 5, std::vector{ renewed }, MilliTime{ 3 });
+    cr_assert_not(registry.at(slot).takesNewFlows());
+    cr_assert(registry.onAnswer(slot));
+    cr_assert(registry.at(slot).takesNewFlows());
+    cr_assert_not(registry.onAnswer(slot));
+    cr_assert_eq(registry.numberConflicts(), 1);
+  }
 }
 
-/// Guards against two targets in one slot: it was freed twice, as one list had
-/// the entry of another writer and then that of the target.
-Test(registry, the_slot_of_a_replaced_entry_is_reused_once)
+Test(registry, each_of_two_entries_with_a_number_can_be_removed)
 {
   TargetRegistry registry;
-  TargetChange odd = listed(3, 1);
-  odd.id = "x-3";
-  odd.record.id = odd.id;
-  const std::vector<TargetChange> entries{ odd, listed(3, 2), listed(4, 3) };
+  const std::vector<TargetChange> entries{ oddEntry(3, 1),
+                                           listed(3, 2),
+                                           listed(4, 3) };
   registry.applyListing({ positionAt(3), entries }, MilliTime{ 1 });
-  const std::vector<TargetChange> more{ listed(5, 4), listed(6, 5) };
-  applyUpTo(registry, 5, more, MilliTime{ 2 });
+  TargetChange end = gone(3, 4);
+  end.id = "x-3";
+  applyUpTo(registry, 4, std::vector{ end }, MilliTime{ 2 });
+  registry.tick(MilliTime{ 100000 }, MilliTime{ 100000 });
+  cr_assert_eq(registry.find("x-3"), kNoTargetSlot);
+  const std::vector<TargetChange> more{ listed(5, 5), listed(6, 6) };
+  applyUpTo(registry, 6, more, MilliTime{ 100001 });
+  std::set<TargetSlot> slots;
   for (std::uint64_t number = 3; number <= 6; ++number) {
-    const TargetSlot slot = registry.findNumber(number);
+    const TargetSlot slot = registry.find("t-" + std::to_string(number));
     cr_assert_eq(registry.at(slot).record.number, number);
+    cr_assert(slots.insert(slot).second);
+  }
+}
+
+/// Guards against an entry of another writer at a target's own key: its address
+/// took over the target's flows until the target wrote again.
+Test(registry, a_process_of_a_target_keeps_its_address)
+{
+  TargetRegistry registry;
+  TargetChange known = listed(3, 1);
+  known.record.incarnation = 70;
+  registry.applyListing({ positionAt(1), std::span(&known, 1) },
+                        MilliTime{ 1 });
+  const TargetSlot slot = registry.find("t-3");
+  std::uint64_t revision = 1;
+  const auto put = [&](std::uint64_t incarnation, const char* address) {
+    TargetChange change = known;
+    change.version.revision = ++revision;
+    change.record.incarnation = incarnation;
+    change.record.address = *parseEndpoint(address);
+    applyUpTo(registry, revision, std::span(&change, 1), MilliTime{ 2 });
+  };
+  const std::string own = formatEndpoint(known.record.address);
+  for (const std::uint64_t incarnation : { 70, 0 }) {
+    put(incarnation, "10.0.9.9:9");
+    cr_assert(registry.at(slot).record.address == known.record.address);
+    cr_assert_not(registry.at(slot).takesNewFlows());
+    put(70, own.c_str());
+    cr_assert(registry.at(slot).takesNewFlows());
   }
+  put(71, "10.0.9.9:9");
+  cr_assert_eq(registry.at(slot).record.address.port, 9, "a new process");
+  cr_assert(registry.at(slot).takesNewFlows());
 }
 
 Test(routes, an_older_version_is_never_applied)
@@ -269,11 +307,13 @@
 {
   const TagScheme scheme(99);
   const FlowKey flow = flowOf(1);
-  const FlowTag tag = scheme.mint(flow, 42);
+  const TargetKey target = targetKeyOf("i-0000002a");
+  const FlowTag tag = scheme.mint(flow, target);
   cr_assert_neq(tag.bits, 0);
-  cr_assert(scheme.matches(tag, flow, 42));
-  cr_assert_not(scheme.matches(tag, flow, 43));
-  cr_assert_not(TagScheme(98).matches(tag, flow, 42));
+  cr_assert(scheme.matches(tag, flow, target));
+  cr_assert_not(scheme.matches(tag, flow, targetKeyOf("i-0000002b")));
+  cr_assert_not(scheme.matches(tag, flow, targetKeyOf("x-0000002a")));
+  cr_assert_not(TagScheme(98).matches(tag, flow, target));
 }
 
 /// The check has 12 bits, so the tag of another flow passes for about 5 of
@@ -281,13 +321,14 @@
 Test(tags, a_tag_of_another_flow_is_almost_always_rejected)
 {
   const TagScheme scheme(99);
-  const FlowTag tag = scheme.mint(flowOf(1), 42);
+  const TargetKey target = targetKeyOf("i-0000002a");
+  const FlowTag tag = scheme.mint(flowOf(1), target);
   int passed = 0;
   for (unsigned i = 2; i < 20002; ++i) {
     FlowKey other = flowOf(i);
     other.source.port = static_cast<std::uint16_t>(i);
     other.source.address.bytes[12] = static_cast<std::uint8_t>(i >> 8);
-    passed += scheme.matches(tag, other, 42) ? 1 : 0;
+    passed += scheme.matches(tag, other, target) ? 1 : 0;
   }
   cr_assert_leq(passed, 20);
 }
@@ -299,7 +340,8 @@
   std::uint64_t first = 0;
   std::uint64_t second = 0;
   for (std::uint64_t number = 1; second == 0; ++number) {
-    const auto [at, isNew] = seen.emplace(scheme.fingerprint(number), number);
+    const TargetKey key = targetKeyOf("t-" + std::to_string(number));
+    const auto [at, isNew] = seen.emplace(scheme.fingerprint(key), number);
     if (!isNew) {
       first = at->second;
       second = number;
