--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -5,12 +5,22 @@
 
 #include "FleetWorld.h"
 
+#include <functional>
+#include <type_traits>
+
 using namespace buckthornwing;
 using namespace buckthornwing::literals;
 using namespace buckthornwing::test;
 
 namespace {
 
+/// The version of a change proves nothing about the changes before it, so it is
+/// not taken for a position.
+static_assert(!std::is_convertible_v<ChangeVersion, StorePosition>);
+static_assert(!std::is_convertible_v<StorePosition, ChangeVersion>);
+static_assert(!std::is_assignable_v<StorePosition&, ChangeVersion>);
+static_assert(!std::is_invocable_v<std::less<>, ChangeVersion, StorePosition>);
+
 constexpr MilliTime kStart{ 100000 };
 
 /// \returns a change of era 2.
