--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -113,6 +113,30 @@
 }
 BENCHMARK(loadView)->Arg(18)->Arg(3100)->Unit(benchmark::kMillisecond);
 
+/// \brief Measures applying the changes of ten targets, as from one watch of
+/// the store.
+void
+applyChanges(benchmark::State& state)
+{
+  constexpr std::size_t kChanged = 10;
+  const auto targets = static_cast<std::size_t>(state.range(0));
+  TagEngineFixture fixture(targets);
+  const std::vector<TargetChange> all = listTargets(targets);
+  std::vector<TargetChange> changes(all.begin(), all.begin() + kChanged);
+  std::uint64_t revision = kLoadedAt.revision;
+  for (auto _ : state) {
+    for (TargetChange& change : changes) {
+      change.version.revision = ++revision;
+      change.record.slots = 2 + revision % 2;
+    }
+    const StorePosition base = fixture.engine.board().registry.position();
+    benchmark::DoNotOptimize(fixture.engine.onTargetChanges(
+      { base, { 0, revision }, changes }, fixture.now, fixture.now));
+    fixture.engine.takeEvents();
+  }
+}
+BENCHMARK(applyChanges)->Arg(18)->Arg(3100)->Unit(benchmark::kMicrosecond);
+
 /// \returns the number of allocated bytes, including large blocks that are
 /// mapped directly.
 std::size_t
--- a/emulator/Callers.cpp
+++ b/emulator/Callers.cpp
@@ -43,31 +43,33 @@
   : parts(parts)
   , hooks(std::move(hooks))
   , random{ seed }
-  , sockets{ DatagramSocket(parts.context), DatagramSocket(parts.context) }
 {
 }
 
 boost::leaf::result<void>
-Callers::start(std::size_t count)
+Callers::start()
 {
-  for (std::size_t zone = 0; zone < this->sockets.size(); ++zone) {
-    BOOST_LEAF_CHECK(this->sockets[zone].open(
+  const std::vector<ZoneShape>& zones = this->parts.deployment.zones;
+  for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+    this->sockets.push_back(
+      std::make_unique<DatagramSocket>(this->parts.context));
+    BOOST_LEAF_CHECK(this->sockets.back()->open(
       this->parts.addresses.callers(zone),
       [this](std::span<const std::uint8_t> bytes, const Endpoint& from) {
         this->onReset(bytes, from);
       }));
-  }
-  for (std::size_t i = 0; i < count; ++i) {
-    this->callers.push_back({ i % this->sockets.size(), {}, {}, bootTime() });
+    for (std::size_t i = 0; i < zones[zone].callers; ++i) {
+      this->callers.push_back({ zone, {}, {}, bootTime() });
+    }
   }
   this->parts.timers.every(internal::kTickPeriod, [this] { this->tick(); });
   return {};
 }
 
-std::string
-Callers::zoneName(std::size_t zone) const
+const std::string&
+Callers::zoneOf(const CallerFlow& flow) const
 {
-  return zone == 0 ? "zone-a" : "zone-b";
+  return this->parts.deployment.zones[this->callers[flow.caller].zone].name;
 }
 
 const CallerFlow*
@@ -174,8 +176,7 @@
   packet.openingCopyIndex = static_cast<std::uint32_t>(flow.openingCount);
   packet.sequence = flow.sequence;
   flow.openingTimes[flow.openingCount++] = now;
-  this->parts.fabric.send(this->zoneName(this->callers[flow.caller].zone),
-                          packet);
+  this->parts.fabric.send(this->zoneOf(flow), packet);
 }
 
 void
@@ -202,8 +203,7 @@
   packet.acknowledged = flow.acknowledged;
   packet.payload =
     std::span(reinterpret_cast<const std::uint8_t*>(text.data()), text.size());
-  this->parts.fabric.send(this->zoneName(this->callers[flow.caller].zone),
-                          packet);
+  this->parts.fabric.send(this->zoneOf(flow), packet);
 }
 
 void
--- a/emulator/Callers.h
+++ b/emulator/Callers.h
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -80,9 +81,9 @@
 public:
   Callers(EmulationParts& parts, CallerHooks hooks, std::uint64_t seed);
 
-  /// \brief Opens the sockets and starts \a count callers.
+  /// \brief Opens the sockets and starts the callers of all zones.
   /// \returns an error if a socket can't be bound
-  boost::leaf::result<void> start(std::size_t count);
+  boost::leaf::result<void> start();
 
   /// \brief Stops starting new requests. Pending ones continue.
   void stopRequests() { this->areRequestsStopped = true; }
@@ -110,7 +111,7 @@
   EmulationParts& parts;
   CallerHooks hooks;
   Random random;
-  std::array<DatagramSocket, 2> sockets; ///< one for each zone
+  std::vector<std::unique_ptr<DatagramSocket>> sockets; ///< for each zone
   std::vector<Caller> callers;
   std::map<FlowKey, CallerFlow> flows;
   std::uint16_t nextPort = 1024;
@@ -118,7 +119,7 @@
   bool areRequestsStopped = false;
   std::optional<MilliTime> answersRequiredFrom;
 
-  std::string zoneName(std::size_t zone) const;
+  const std::string& zoneOf(const CallerFlow& flow) const;
   void tick();
   void tickCaller(std::size_t index, MilliTime now);
   void tickFlow(CallerFlow& flow, MilliTime now);
--- a/emulator/Checks.cpp
+++ b/emulator/Checks.cpp
@@ -11,21 +11,32 @@
 Checks::mustMeetBounds(std::size_t index)
 {
   const Instance& instance = this->parts.instances.at(index);
-  const bool doBoundsApply =
-    instance.stability.isStable() && this->parts.storeStability.isStable() &&
-    bootTime() - instance.startedAt >= Bounds::kSettlingTime;
+  const MilliDuration settling = this->parts.deployment.bounds.settlingTime;
+  const bool doBoundsApply = instance.stability.isStable(settling) &&
+                             this->parts.storeStability.isStable(settling) &&
+                             bootTime() - instance.startedAt >= settling;
   this->parts.guarantees.count(doBoundsApply ? "checks_with_bounds"
                                              : "checks_without_bounds");
   return doBoundsApply;
 }
 
+MilliTime
+Checks::routesSince(MilliTime sentAt) const
+{
+  const MilliDuration limit =
+    this->parts.deployment.bounds.maxRouteChangeDelay +
+    Bounds::kMaxEmulatorDelay;
+  return MilliTime{ sentAt.ms - limit.ms };
+}
+
 std::string
 Checks::describe(const CallerFlow& flow,
                  std::uint64_t target,
                  std::size_t instance) const
 {
-  return formatFlowKey(flow.key) + " target " + std::to_string(target) +
-         " instance " + std::to_string(instance);
+  return formatFlowKey(flow.key) + " target " + formatTargetId(target) +
+         " instance entry-" + std::to_string(instance) + " of " +
+         this->parts.instances.at(instance).zone;
 }
 
 void
@@ -44,14 +55,18 @@
   const MilliTime sentAt = flow->openingTimes[packet.openingCopyIndex];
   this->checkService(*flow, sentAt, target, *instance);
   this->checkNoVersionRegression(*flow, sentAt, target, *instance);
-  const bool mustKnowDraining =
-    target.drainingSince &&
-    bootTime() - *target.drainingSince >
-      Bounds::kMaxDrainDelay + Bounds::kMaxEmulatorDelay;
-  if (mustKnowDraining && this->mustMeetBounds(*instance)) {
+  if (!target.drainingSince) {
+    return;
+  }
+  const MilliDuration since = bootTime() - *target.drainingSince;
+  const MilliDuration limit =
+    this->parts.deployment.bounds.maxDrainDelay + Bounds::kMaxEmulatorDelay;
+  if (since > limit && this->mustMeetBounds(*instance)) {
+    this->parts.guarantees.count("late_at_" + formatTargetId(target.number));
     this->parts.guarantees.reportViolation(
       "no_new_flow_at_draining",
-      this->describe(*flow, target.number, *instance));
+      this->describe(*flow, target.number, *instance) + ", " +
+        std::to_string(since.ms) + " ms after the store accepted its drain");
   }
 }
 
@@ -61,18 +76,18 @@
                      const Target& target,
                      std::size_t instance)
 {
+  const std::string& service =
+    this->parts.deployment.services[target.service].name;
   const auto allServices =
     this->parts.routes.servicesSince(flow.route, MilliTime{});
-  const MilliTime from =
-    sentAt + MilliDuration{ -Bounds::kMaxRouteChangeDelay.ms -
-                            Bounds::kMaxEmulatorDelay.ms };
-  const auto recent = this->parts.routes.servicesSince(flow.route, from);
+  const auto recent =
+    this->parts.routes.servicesSince(flow.route, this->routesSince(sentAt));
   const bool doBoundsApply = this->mustMeetBounds(instance);
-  if (!allServices.contains(target.service) ||
-      (doBoundsApply && !recent.contains(target.service))) {
+  if (!allServices.contains(service) ||
+      (doBoundsApply && !recent.contains(service))) {
     this->parts.guarantees.reportViolation(
       "selection",
-      this->describe(flow, target.number, instance) + " of " + target.service);
+      this->describe(flow, target.number, instance) + " of " + service);
   }
 }
 
@@ -82,8 +97,8 @@
                                  const Target& target,
                                  std::size_t instance)
 {
-  const auto versions =
-    this->parts.routes.versionsOf(flow.route, target.service);
+  const auto versions = this->parts.routes.versionsOf(
+    flow.route, this->parts.deployment.services[target.service].name);
   const unsigned processNumber = this->parts.instances.at(instance).startCount;
   if (versions && this->observedVersions.observe(
                     { instance, processNumber, flow.route, *versions, sentAt },
@@ -127,10 +142,8 @@
 Checks::checkRefusal(const CallerFlow& flow, std::size_t instance)
 {
   const MilliTime sentAt = flow.openingTimes[0];
-  const auto recent = this->parts.routes.servicesSince(
-    flow.route,
-    sentAt + MilliDuration{ -Bounds::kMaxRouteChangeDelay.ms -
-                            Bounds::kMaxEmulatorDelay.ms });
+  const auto recent =
+    this->parts.routes.servicesSince(flow.route, this->routesSince(sentAt));
   const bool hadRoute = !recent.contains("");
   bool canServe = true;
   for (const std::string& service : recent) {
--- a/emulator/Checks.h
+++ b/emulator/Checks.h
@@ -8,9 +8,10 @@
 /// \brief Checks the daemon's guarantees by what callers and targets observe.
 ///
 /// Guarantees with time bounds are checked only while the instance and the
-/// store have had no fault for Bounds::kSettlingTime and the instance has run
-/// for that time. Always checked, among others: all packets of a flow go to the
-/// same target, and no new flow goes to a service to which its route never led.
+/// store have had no fault for the settling time of the deployment and the
+/// instance has run for that time. Always checked, among others: all packets of
+/// a flow go to the same target, and no new flow goes to a service to which its
+/// route never led.
 class Checks
 {
 public:
@@ -59,8 +60,10 @@
   /// \brief Checks that an open flow isn't reset while its target is alive.
   /// Permitted are resets while the target isn't stable, resets if a version
   /// since the flow was opened lacked the route, and resets of flows with
-  /// idempotent requests by an instance younger than Bounds::kSettlingTime.
+  /// idempotent requests by an instance younger than the settling time.
   void checkOpenFlowReset(const CallerFlow& flow, std::size_t instance);
+  /// \returns the time from which routes may apply to a packet.
+  MilliTime routesSince(MilliTime sentAt) const;
   std::string describe(const CallerFlow& flow,
                        std::uint64_t target,
                        std::size_t instance) const;
--- a/emulator/Emulation.cpp
+++ b/emulator/Emulation.cpp
@@ -1,11 +1,12 @@
 #include "Emulation.h"
 
+#include <platform/StoreItems.h>
+
 #include <unistd.h>
 
 namespace buckthornwing::emulator {
 namespace internal {
 
-constexpr std::size_t kStorePageItems = 10;
 /// \brief The second octet of the loopback addresses is derived from the
 /// process number, so that concurrent runs rarely share addresses.
 constexpr unsigned kFirstNetwork = 16;
@@ -18,13 +19,18 @@
   , addresses{ internal::kFirstNetwork +
                static_cast<unsigned>(::getpid()) % internal::kNetworks }
   , guaranteeRecord(bootTime())
-  , store(context, internal::kStorePageItems)
+  , store(context, settings.deployment.pageItems)
   , instances(context,
               addresses,
               guaranteeRecord,
               settings.program,
               settings.directory)
-  , targets(context, addresses, store, guaranteeRecord, this->targetHooks())
+  , targets(context,
+            addresses,
+            store,
+            guaranteeRecord,
+            this->settings.deployment,
+            this->targetHooks())
 {
 }
 
@@ -32,13 +38,21 @@
 Emulation::start(MilliDuration warmUp)
 {
   BOOST_LEAF_CHECK(this->store.start(this->addresses.store()));
-  this->routes.emplace(this->store, this->addresses);
-  this->targets.start(this->settings.targets);
-  BOOST_LEAF_CHECK(this->instances.start(this->settings.instances));
+  this->store.setAfterPage([this](const std::string& prefix) {
+    // Pages are no snapshot: an entry changes between them.
+    if (prefix == platform::kTargetKeyPrefix) {
+      this->targets.changeNextEntry();
+    }
+  });
+  const Deployment& deployment = this->settings.deployment;
+  this->routes.emplace(this->store, this->addresses, deployment.serviceNames());
+  this->targets.start();
+  BOOST_LEAF_CHECK(this->instances.start(deployment.instanceZones()));
   this->fabric.emplace(
     this->context, this->addresses, this->instances, this->settings.seed);
   BOOST_LEAF_CHECK(this->fabric->start());
-  this->sharedParts.emplace(EmulationParts{ this->context,
+  this->sharedParts.emplace(EmulationParts{ this->settings.deployment,
+                                            this->context,
                                             this->timers,
                                             this->addresses,
                                             this->guaranteeRecord,
@@ -77,8 +91,7 @@
 void
 Emulation::startCallers()
 {
-  this->guaranteeRecord.mustSucceed(
-    [&] { return this->callers->start(this->settings.callers); });
+  this->guaranteeRecord.mustSucceed([&] { return this->callers->start(); });
 }
 
 }
--- a/emulator/Emulation.h
+++ b/emulator/Emulation.h
@@ -9,13 +9,11 @@
 
 namespace buckthornwing::emulator {
 
-/// \brief Numbers of the parts of an emulation, and paths of its files.
+/// \brief Parts of an emulation, and paths of its files.
 struct EmulationSettings
 {
   std::uint64_t seed = 1;
-  std::size_t instances = 4;
-  std::size_t targets = 8;
-  std::size_t callers = 60;
+  Deployment deployment = makeDeployment(4, 8, 60);
   std::string program;   ///< path of the daemon's executable
   std::string directory; ///< for the settings and logs of the daemons
 };
--- a/emulator/EmulationParts.h
+++ b/emulator/EmulationParts.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_EMULATOR_EMULATION_PARTS_H
 #define BUCKTHORNWING_EMULATOR_EMULATION_PARTS_H
 
+#include "Deployment.h"
 #include "Fabric.h"
 #include "Routes.h"
 #include "Targets.h"
@@ -11,6 +12,7 @@
 /// fault injection use.
 struct EmulationParts
 {
+  const Deployment& deployment;
   boost::asio::io_context& context;
   Timers timers;
   Addresses addresses;
--- a/emulator/Guarantees.h
+++ b/emulator/Guarantees.h
@@ -18,10 +18,6 @@
 {
   /// Time after the last fault until time bounds apply.
   static constexpr MilliDuration kSettlingTime{ 4000 };
-  /// Time from the publication of routes until new flows must follow them.
-  static constexpr MilliDuration kMaxRouteChangeDelay{ 3000 };
-  /// Time from the start of draining until a target must not receive new flows.
-  static constexpr MilliDuration kMaxDrainDelay{ 3000 };
   /// Maximum duration of a planned stop.
   static constexpr MilliDuration kStopTimeout{ 6000 };
   /// Time after the end of all faults until all instances must be ready.
--- a/emulator/Instances.cpp
+++ b/emulator/Instances.cpp
@@ -26,13 +26,14 @@
 }
 
 boost::leaf::result<void>
-Instances::start(std::size_t count)
+Instances::start(const std::vector<std::string>& zones)
 {
-  this->instances.resize(count);
-  for (std::size_t i = 0; i < count; ++i) {
+  this->instances.resize(zones.size());
+  for (std::size_t i = 0; i < zones.size(); ++i) {
+    this->instances[i].zone = zones[i];
     BOOST_LEAF_CHECK(this->prepare(i));
   }
-  for (std::size_t i = 0; i < count; ++i) {
+  for (std::size_t i = 0; i < zones.size(); ++i) {
     this->launch(i);
   }
   this->timers.every(internal::kPollPeriod, [this] { this->pollProcesses(); });
@@ -206,7 +207,6 @@
 Instances::prepare(std::size_t index)
 {
   Instance& instance = this->instances[index];
-  instance.zone = index % 2 == 0 ? "zone-a" : "zone-b";
   const std::string pathPrefix =
     this->directory + "/entry-" + std::to_string(index);
   instance.settingsFile = pathPrefix + ".json";
--- a/emulator/Instances.h
+++ b/emulator/Instances.h
@@ -46,10 +46,9 @@
             std::string program,
             std::string directory);
 
-  /// \brief Prepares and starts \a count instances, alternating between two
-  /// zones.
+  /// \brief Prepares and starts an instance in each of the given zones.
   /// \returns an error if a proxy can't be opened
-  boost::leaf::result<void> start(std::size_t count);
+  boost::leaf::result<void> start(const std::vector<std::string>& zones);
 
   std::size_t size() const { return this->instances.size(); }
   Instance& at(std::size_t index) { return this->instances[index]; }
--- a/emulator/Routes.cpp
+++ b/emulator/Routes.cpp
@@ -5,13 +5,17 @@
 
 namespace buckthornwing::emulator {
 
-Routes::Routes(standin::StoreStandin& store, const Addresses& addresses)
+Routes::Routes(standin::StoreStandin& store,
+               const Addresses& addresses,
+               std::vector<std::string> services)
   : store(store)
   , addresses(addresses)
+  , serviceNames(std::move(services))
 {
   Version first{ 3, bootTime(), {} };
   for (std::size_t i = 0; i < kRouteCount; ++i) {
-    first.services.emplace_back(i % 2 == 0 ? "booking" : "billing");
+    first.services.emplace_back(
+      this->serviceNames[i % this->serviceNames.size()]);
   }
   this->publish(std::move(first));
 }
@@ -72,9 +76,9 @@
                          *version.services[i] });
     }
   }
-  this->store.put(std::string(platform::kRoutesKey),
-                  standin::formatConfiguration(
-                    version.number, routes, { "booking", "billing" }));
+  this->store.put(
+    std::string(platform::kRoutesKey),
+    standin::formatConfiguration(version.number, routes, this->serviceNames));
 }
 
 }
--- a/emulator/Routes.h
+++ b/emulator/Routes.h
@@ -21,7 +21,10 @@
 public:
   static constexpr std::size_t kRouteCount = 6;
 
-  Routes(standin::StoreStandin& store, const Addresses& addresses);
+  /// \param services names of the services that routes may lead to
+  Routes(standin::StoreStandin& store,
+         const Addresses& addresses,
+         std::vector<std::string> services);
 
   /// \brief Publishes a new version: route \a index leads to \a service.
   /// \param service the new service; no value removes the route
@@ -33,6 +36,10 @@
   {
     return this->versions.back().services[index];
   }
+  const std::vector<std::string>& services() const
+  {
+    return this->serviceNames;
+  }
   /// \returns whether requests of a route are idempotent.
   static bool isIdempotent(std::size_t index) { return index % 3 != 2; }
 
@@ -58,6 +65,7 @@
 
   standin::StoreStandin& store;
   Addresses addresses;
+  std::vector<std::string> serviceNames;
   std::vector<Version> versions;
 
   void publish(Version version);
--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -12,8 +12,6 @@
 namespace buckthornwing::emulator {
 namespace internal {
 
-/// \brief Number of requests that a target processes at the same time.
-constexpr unsigned kSlots = 2;
 constexpr MilliDuration kServiceTime{ 15 };
 /// \brief Network delay from a target to a caller.
 constexpr MilliDuration kReplyDelay{ 2 };
@@ -25,7 +23,13 @@
 /// \brief Time from the end of an outage of the store until all targets that
 /// are alive have registered again.
 constexpr MilliDuration kReregistrationDelay{ 1500 };
-constexpr MilliDuration kDrainDuration{ 4500 };
+/// \brief A draining target terminates after the first of these times and up to
+/// the second one more.
+constexpr MilliDuration kMinDrainDuration{ 4500 };
+constexpr std::int64_t kDrainSpreadMs = 6000;
+constexpr MilliDuration kHeartbeatPeriod{ 1200 };
+/// \brief Parts of the period in which different targets send heartbeats.
+constexpr std::size_t kHeartbeatPhases = 12;
 constexpr std::uint32_t kAnswerBytes = 100;
 
 }
@@ -34,22 +38,134 @@
                  const Addresses& addresses,
                  standin::StoreStandin& store,
                  Guarantees& guarantees,
+                 const Deployment& deployment,
                  TargetHooks hooks)
   : context(context)
   , timers{ context }
   , addresses(addresses)
   , store(store)
   , guarantees(guarantees)
+  , deployment(deployment)
   , hooks(std::move(hooks))
 {
 }
 
+std::string
+formatTargetId(std::uint64_t number)
+{
+  std::ostringstream id;
+  id << "i-" << std::hex << std::setw(8) << std::setfill('0') << number;
+  return id.str();
+}
+
+void
+Targets::start()
+{
+  const auto& services = this->deployment.services;
+  for (std::size_t service = 0; service < services.size(); ++service) {
+    const std::vector<std::size_t>& counts = services[service].targetsByZone;
+    for (std::size_t zone = 0; zone < counts.size(); ++zone) {
+      for (std::size_t i = 0; i < counts[zone]; ++i) {
+        this->add(service, this->deployment.zones[zone].name);
+      }
+    }
+  }
+  const MilliDuration phase{ internal::kHeartbeatPeriod.ms /
+                             static_cast<std::int64_t>(
+                               internal::kHeartbeatPhases) };
+  this->timers.every(phase, [this] { this->sendHeartbeats(); });
+}
+
 void
-Targets::start(std::size_t count)
+Targets::add(std::size_t service, const std::string& zone)
 {
-  for (std::size_t i = 0; i < count; ++i) {
+  std::size_t index = 0;
+  // The address of a target that ended for good may be used again.
+  while (index < this->targets.size() &&
+         !(this->targets[index]->isLast &&
+           this->targets[index]->state == Target::State::gone)) {
+    ++index;
+  }
+  if (index == this->targets.size()) {
     this->targets.push_back(std::make_unique<Target>());
-    this->startTarget(i, i % 2 == 0 ? "booking" : "billing");
+  }
+  this->targets[index]->zone = zone;
+  this->startTarget(index, service);
+}
+
+std::vector<std::size_t>
+Targets::servingTargets(std::size_t service) const
+{
+  std::vector<std::size_t> serving;
+  for (std::size_t i = 0; i < this->targets.size(); ++i) {
+    if (this->targets[i]->service == service &&
+        this->targets[i]->state == Target::State::serving) {
+      serving.push_back(i);
+    }
+  }
+  return serving;
+}
+
+void
+Targets::release(std::size_t service, MilliDuration gap)
+{
+  MilliDuration delay{};
+  for (const std::size_t index : this->servingTargets(service)) {
+    const std::uint64_t number = this->targets[index]->number;
+    this->timers.after(delay, [this, index, number] {
+      if (this->targets[index]->number == number) {
+        this->replace(index);
+      }
+    });
+    delay = delay + gap;
+  }
+}
+
+void
+Targets::replace(std::size_t index)
+{
+  if (this->targets[index]->state != Target::State::serving) {
+    return;
+  }
+  this->add(this->targets[index]->service, this->targets[index]->zone);
+  this->targets[index]->isLast = true;
+  this->drain(index);
+}
+
+void
+Targets::scaleIn(std::size_t service, std::size_t count)
+{
+  std::vector<std::size_t> serving = this->servingTargets(service);
+  for (std::size_t i = 0; i < count && i + 1 < serving.size(); ++i) {
+    this->targets[serving[i]]->isLast = true;
+    this->drain(serving[i]);
+  }
+}
+
+void
+Targets::sendHeartbeats()
+{
+  for (std::size_t i = this->heartbeatPhase; i < this->targets.size();
+       i += internal::kHeartbeatPhases) {
+    this->renew(i);
+  }
+  this->heartbeatPhase =
+    (this->heartbeatPhase + 1) % internal::kHeartbeatPhases;
+}
+
+void
+Targets::renew(std::size_t index)
+{
+  Target& target = *this->targets[index];
+  const bool isTalking = target.state == Target::State::serving ||
+                         target.state == Target::State::draining;
+  if (!isTalking || !target.isRegistered || this->activeRemovals > 0 ||
+      this->isStoreAway) {
+    return;
+  }
+  if (this->store.find(this->storeKeyOf(target)) !=
+      this->registrationOf(target, index)) {
+    this->registerTarget(target, index);
   }
 }
 
@@ -68,9 +184,11 @@
 Targets::canServe(const std::string& service) const
 {
   for (const auto& target : this->targets) {
-    if (target->service == service && target->state == Target::State::serving &&
+    if (this->shapeOf(*target).name == service &&
+        target->state == Target::State::serving &&
         target->stability.isStable() &&
-        bootTime() - target->registeredAt >= Bounds::kSettlingTime) {
+        bootTime() - target->registeredAt >=
+          this->deployment.bounds.settlingTime) {
       return true;
     }
   }
@@ -88,14 +206,18 @@
   target.state = Target::State::draining;
   if (target.isRegistered) {
     this->registerTarget(target, index);
-    target.drainingSince = bootTime();
   }
-  this->timers.after(internal::kDrainDuration, [this, index] {
-    if (this->targets[index]->state == Target::State::draining) {
-      this->deregister(this->targets[index]->number);
-      this->removeTarget(index);
-    }
-  });
+  const MilliDuration spread{ static_cast<std::int64_t>(
+    mixWords(target.number, 1) % internal::kDrainSpreadMs) };
+  const std::uint64_t number = target.number;
+  this->timers.after(
+    internal::kMinDrainDuration + spread, [this, index, number] {
+      if (this->targets[index]->number == number &&
+          this->targets[index]->state == Target::State::draining) {
+        this->deregister(this->targets[index]->number);
+        this->removeTarget(index);
+      }
+    });
 }
 
 void
@@ -191,25 +313,11 @@
 void
 Targets::onStoreRestored()
 {
-  this->timers.after(internal::kReregistrationDelay,
-                     [this] { this->writeAgain(); });
+  this->isStoreAway = false;
   this->timers.after(internal::kRegistrationLifetime,
                      [this] { this->removeOrphans(); });
 }
 
-void
-Targets::writeAgain()
-{
-  for (std::size_t i = 0; i < this->targets.size(); ++i) {
-    const Target& target = *this->targets[i];
-    const std::string key = this->storeKeyOf(target);
-    const std::string entry = this->registrationOf(target, i);
-    if (target.isRegistered && this->store.find(key) != entry) {
-      this->store.put(key, entry);
-    }
-  }
-}
-
 void
 Targets::removeOrphans()
 {
@@ -227,13 +335,26 @@
   }
 }
 
+void
+Targets::changeNextEntry()
+{
+  if (this->targets.empty()) {
+    return;
+  }
+  const std::size_t index = this->nextChanged++ % this->targets.size();
+  Target& target = *this->targets[index];
+  target.extraSlots = 1 - target.extraSlots;
+  this->renew(index);
+}
+
 void
 Targets::putOddEntry(std::size_t variant)
 {
   this->guarantees.count("fault_odd_entry");
   const std::string prefix(platform::kTargetKeyPrefix);
   const Target& target = *this->targets[variant % this->targets.size()];
-  constexpr std::size_t kVariants = 4;
+  constexpr std::size_t kVariants = 6;
+  const Endpoint kNowhere = *parseEndpoint("127.0.0.1:9");
   switch (variant % kVariants) {
     case 0:
       this->store.put(prefix + "i-unreadable", "\xff{");
@@ -243,10 +364,29 @@
       break;
     case 2:
       // The digits of a target's id, and an address where nothing listens.
+      this->store.put(prefix + "x" +
+                        this->storeKeyOf(target).substr(prefix.size() + 1),
+                      standin::formatTargetRegistration(
+                        { this->shapeOf(target).name, kNowhere, target.zone }));
+      break;
+    case 3:
+      // The same, at the target's address.
       this->store.put(
         prefix + "x" + this->storeKeyOf(target).substr(prefix.size() + 1),
-        standin::formatTargetRegistration(
-          { target.service, *parseEndpoint("127.0.0.1:9"), "zone-a" }));
+        this->registrationOf(target, variant % this->targets.size()));
+      break;
+    case 4:
+      // At the target's own key, until it writes again.
+      if (target.isRegistered) {
+        this->store.put(
+          this->storeKeyOf(target),
+          standin::formatTargetRegistration({ this->shapeOf(target).name,
+                                              kNowhere,
+                                              target.zone,
+                                              1,
+                                              false,
+                                              target.incarnation }));
+      }
       break;
     default:
       this->store.put(prefix + "i-2", std::string(100000, 'v'));
@@ -257,19 +397,17 @@
 std::string
 Targets::storeKeyOf(const Target& target) const
 {
-  std::ostringstream key;
-  key << platform::kTargetKeyPrefix << "i-" << std::hex << std::setw(8)
-      << std::setfill('0') << target.number;
-  return key.str();
+  return std::string(platform::kTargetKeyPrefix) +
+         formatTargetId(target.number);
 }
 
 void
-Targets::startTarget(std::size_t index, const std::string& service)
+Targets::startTarget(std::size_t index, std::size_t service)
 {
   Target& target = *this->targets[index];
   target.number = ++this->nextNumber;
   target.service = service;
-  target.zone = index / 2 % 2 == 0 ? "zone-a" : "zone-b";
+  target.isLast = false;
   target.state = Target::State::serving;
   target.incarnation = static_cast<std::uint64_t>(wallClockMilliseconds());
   target.startedAt = bootTime();
@@ -343,20 +481,30 @@
     target.registeredAt = bootTime();
   }
   target.isRegistered = true;
+  if (this->isStoreAway) {
+    return; // the next heartbeat writes the entry
+  }
   this->store.put(this->storeKeyOf(target),
                   this->registrationOf(target, index));
+  if (target.state == Target::State::draining && !target.drainingSince) {
+    target.drainingSince = bootTime();
+  }
 }
 
 std::string
 Targets::registrationOf(const Target& target, std::size_t index) const
 {
+  const ServiceShape& shape = this->shapeOf(target);
+  const MilliDuration age = bootTime() - target.startedAt;
+  const MilliDuration remaining{ shape.warmUp.ms - age.ms };
   return standin::formatTargetRegistration(
-    { target.service,
+    { shape.name,
       this->addresses.target(index),
       target.zone,
-      internal::kSlots,
+      shape.slots + target.extraSlots,
       target.state == Target::State::draining,
-      target.incarnation });
+      target.incarnation,
+      std::max(remaining, MilliDuration{}) });
 }
 
 void
@@ -369,8 +517,11 @@
   this->closedPackets.push_back(std::move(target.packets));
   this->closeHealth(target);
   target.silentPort.reset();
-  // The next target at this address belongs to the other service.
-  const std::string next = target.service == "booking" ? "billing" : "booking";
+  if (target.isLast) {
+    return;
+  }
+  const std::size_t next =
+    (target.service + 1) % this->deployment.services.size();
   this->timers.after(internal::kAddressReuseDelay,
                      [this, index, next] { this->startTarget(index, next); });
 }
@@ -462,7 +613,7 @@
   }
   const std::string id(platform::PacketCodec::requestId(packet.payload));
   const FlowKey flow = packet.flow;
-  if (target.busySlots < internal::kSlots) {
+  if (target.busySlots < this->shapeOf(target).slots) {
     this->startWork(index, flow, id);
   } else {
     target.waitingRequests.push_back(
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -3,6 +3,7 @@
 
 #include "Addresses.h"
 #include "DatagramSocket.h"
+#include "Deployment.h"
 #include "Guarantees.h"
 #include "SilentPort.h"
 #include "Timers.h"
@@ -60,8 +61,10 @@
   };
 
   std::uint64_t number = 0;
-  std::string service;
+  std::size_t service = 0; ///< index in the deployment
   std::string zone;
+  bool isLast = false;     ///< no other target starts at its address by itself
+  unsigned extraSlots = 0; ///< published beside those of its service
   State state = State::gone;
   bool isRegistered = false;
   std::uint64_t incarnation = 0;
@@ -77,6 +80,10 @@
   std::deque<std::function<void()>> waitingRequests;
 };
 
+/// \returns the id under which a target registers.
+std::string
+formatTargetId(std::uint64_t number);
+
 /// \brief Callbacks through which the targets report events.
 struct TargetHooks
 {
@@ -95,8 +102,11 @@
 /// store.
 ///
 /// Each target has a fixed address. Some time after a target has terminated,
-/// another target with a new number and the other service starts at its
-/// address.
+/// another target with a new number and the next service starts at its address,
+/// unless it was released or taken away.
+///
+/// A target writes its entry again with each heartbeat in which it differs from
+/// what the store has.
 class Targets
 {
 public:
@@ -104,10 +114,11 @@
           const Addresses& addresses,
           standin::StoreStandin& store,
           Guarantees& guarantees,
+          const Deployment& deployment,
           TargetHooks hooks);
 
-  /// \brief Starts \a count targets, which belong to two services in two zones.
-  void start(std::size_t count);
+  /// \brief Starts the targets of the deployment.
+  void start();
 
   std::size_t size() const { return this->targets.size(); }
   const Target& at(std::size_t index) const { return *this->targets[index]; }
@@ -122,6 +133,14 @@
 
   /// \brief Drains a serving target, which terminates some seconds later.
   void drain(std::size_t index);
+  /// \brief Replaces the targets of a service one after the other: a new one
+  /// starts at another address, and the old one drains.
+  /// \param service index in the deployment
+  /// \param gap time between two targets
+  void release(std::size_t service, MilliDuration gap);
+  /// \brief Drains some targets of a service, which are not replaced. One
+  /// always remains.
+  void scaleIn(std::size_t service, std::size_t count);
   /// \brief Lets a serving target crash.
   /// \param isSilent whether its address stops responding, as when its host
   /// fails; otherwise connections are refused
@@ -136,11 +155,16 @@
   /// \a duration. Targets that are alive register again some time after that.
   void removeRegistrations(MilliDuration duration);
 
-  /// \brief Handles a store that has come back from an older copy: after some
-  /// time the targets write again what it has lost, and entries of targets that
-  /// have ended expire.
+  /// \brief Handles a store that accepts no writes until onStoreRestored().
+  void onStoreAway() { this->isStoreAway = true; }
+  /// \brief Handles a store that has come back from an older copy: with their
+  /// next heartbeats the targets write again what it has lost, and entries of
+  /// targets that have ended expire.
   void onStoreRestored();
 
+  /// \brief Lets one target after the other change its entry.
+  void changeNextEntry();
+
   /// \brief Stores an entry of another writer, which names no target.
   /// \param variant selects one of several kinds
   void putOddEntry(std::size_t variant);
@@ -151,6 +175,7 @@
   Addresses addresses;
   standin::StoreStandin& store;
   Guarantees& guarantees;
+  const Deployment& deployment;
   TargetHooks hooks;
   std::vector<std::unique_ptr<Target>> targets;
   /// Closed sockets and servers, kept because their handlers may be pending.
@@ -158,15 +183,28 @@
   std::vector<std::unique_ptr<HttpServer>> closedHealth;
   std::uint64_t nextNumber = 0x1000;
   int activeRemovals = 0; ///< targets don't register while it is positive
+  bool isStoreAway = false;
+  std::size_t heartbeatPhase = 0;
+  std::size_t nextChanged = 0; ///< index for changeNextEntry()
 
-  void startTarget(std::size_t index, const std::string& service);
+  const ServiceShape& shapeOf(const Target& target) const
+  {
+    return this->deployment.services[target.service];
+  }
+  void add(std::size_t service, const std::string& zone);
+  void replace(std::size_t index);
+  /// \returns the indices of the serving targets of a service.
+  std::vector<std::size_t> servingTargets(std::size_t service) const;
+  void startTarget(std::size_t index, std::size_t service);
+  /// \brief Lets a twelfth of the targets send their heartbeats.
+  void sendHeartbeats();
+  void renew(std::size_t index);
   void openSockets(std::size_t index);
   void openHealth(std::size_t index);
   void closeHealth(Target& target);
   void makeSilent(std::size_t index);
   void registerTarget(Target& target, std::size_t index);
   std::string registrationOf(const Target& target, std::size_t index) const;
-  void writeAgain();
   void removeOrphans();
   void removeTarget(std::size_t index);
   void deregister(std::uint64_t number);
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -22,6 +22,7 @@
   this->addStoreFaults();
   this->addTargetFaults();
   this->addOperatorChanges();
+  this->addPlannedWork();
 }
 
 MilliDuration
@@ -74,7 +75,13 @@
     this->parts.instances.stallLog(this->randomInstance(),
                                    this->randomDuration(1000, 5000));
   });
-  this->injectors.emplace_back([this] { this->killAllInstances(); });
+  this->injectors.emplace_back([this] {
+    // Runs only once in three times, so that other faults hit running
+    // instances.
+    if (this->randomBelow(3) == 0) {
+      this->killAll(this->randomDuration(100, 1500));
+    }
+  });
 }
 
 void
@@ -112,13 +119,26 @@
 void
 Faults::addStoreFaults()
 {
-  this->injectors.emplace_back([this] { this->injectStoreFault(); });
-  this->injectors.emplace_back([this] { this->expireRegistrations(); });
   this->injectors.emplace_back([this] {
-    this->parts.guarantees.count("fault_history_dropped");
-    this->parts.store.dropHistory();
+    constexpr std::array kStoreFaults{ standin::StoreFault::busy,
+                                       standin::StoreFault::limited,
+                                       standin::StoreFault::silent,
+                                       standin::StoreFault::malformed };
+    this->breakStore(kStoreFaults[this->randomBelow(kStoreFaults.size())],
+                     this->randomDuration(300, 5000));
+  });
+  this->injectors.emplace_back(
+    [this] { this->expireRegistrations(this->randomDuration(1000, 4000)); });
+  this->injectors.emplace_back([this] { this->dropHistory(); });
+  this->injectors.emplace_back([this] {
+    const MilliDuration after = this->randomDuration(500, 3000);
+    this->drill(after, this->randomDuration(200, 1000));
+    // Some drills follow each other within seconds.
+    if (this->randomBelow(3) == 0) {
+      this->drill(after + this->randomDuration(1100, 2000),
+                  this->randomDuration(200, 1000));
+    }
   });
-  this->injectors.emplace_back([this] { this->keepCopy(); });
 }
 
 void
@@ -146,15 +166,40 @@
   this->injectors.emplace_back([this] { this->changeRoute(); });
 }
 
+void
+Faults::addPlannedWork()
+{
+  this->injectors.emplace_back([this] {
+    const std::size_t services = this->parts.deployment.services.size();
+    this->parts.targets.release(this->randomBelow(services),
+                                this->randomDuration(100, 1000));
+  });
+  this->injectors.emplace_back([this] {
+    this->changeRoutes(2 + this->randomBelow(6), MilliDuration{ 330 });
+  });
+}
+
+void
+Faults::changeRoutes(std::size_t count, MilliDuration gap)
+{
+  MilliDuration delay{};
+  for (std::size_t i = 0; i < count; ++i) {
+    this->parts.timers.after(delay, [this] { this->changeRoute(); });
+    delay = delay + gap;
+  }
+}
+
 void
 Faults::changeRoute()
 {
   const std::size_t route = this->randomBelow(emulator::Routes::kRouteCount);
+  const std::vector<std::string>& services = this->parts.routes.services();
   // The first two routes are never dropped: callers always need a route.
-  const std::size_t choice = this->randomBelow(route < 2 ? 2 : 3);
+  const std::size_t choice =
+    this->randomBelow(services.size() + (route < 2 ? 0 : 1));
   std::optional<std::string> service;
-  if (choice < 2) {
-    service = choice == 0 ? "booking" : "billing";
+  if (choice < services.size()) {
+    service = services[choice];
   }
   this->parts.guarantees.recordFault("route_change",
                                      std::to_string(route) + " to " +
@@ -163,34 +208,41 @@
 }
 
 void
-Faults::killAllInstances()
+Faults::killAll(MilliDuration downFor)
 {
-  // Runs only once in three times, so that other faults hit running instances.
-  if (this->randomBelow(3) != 0) {
-    return;
-  }
   this->parts.guarantees.count("fault_kill_all");
-  const MilliDuration downFor = this->randomDuration(100, 1500);
   for (std::size_t i = 0; i < this->parts.instances.size(); ++i) {
     this->parts.instances.kill(i, downFor);
   }
 }
 
 void
-Faults::injectStoreFault()
+Faults::roll(MilliDuration gap)
+{
+  MilliDuration delay{};
+  for (std::size_t i = 0; i < this->parts.instances.size(); ++i) {
+    this->parts.timers.after(
+      delay, [this, i] { this->parts.instances.stop(i, MilliDuration{}); });
+    delay = delay + gap;
+  }
+}
+
+void
+Faults::dropHistory()
 {
-  constexpr std::array kStoreFaults{ standin::StoreFault::busy,
-                                     standin::StoreFault::limited,
-                                     standin::StoreFault::silent,
-                                     standin::StoreFault::malformed };
-  const std::size_t faultIndex = this->randomBelow(kStoreFaults.size());
-  this->parts.guarantees.recordFault("store",
-                                     "mood " + std::to_string(faultIndex));
+  this->parts.guarantees.count("fault_history_dropped");
+  this->parts.store.dropHistory();
+}
+
+void
+Faults::breakStore(standin::StoreFault fault, MilliDuration duration)
+{
+  this->parts.guarantees.recordFault(
+    "store", "mood " + std::to_string(static_cast<int>(fault)));
   ++this->activeStoreFaults;
   this->parts.storeStability.beginFault();
-  this->parts.store.setFault(kStoreFaults[faultIndex]);
-  this->parts.timers.after(this->randomDuration(300, 5000),
-                           [this] { this->endStoreFault(); });
+  this->parts.store.setFault(fault);
+  this->parts.timers.after(duration, [this] { this->endStoreFault(); });
 }
 
 void
@@ -203,52 +255,42 @@
 }
 
 void
-Faults::keepCopy()
+Faults::drill(MilliDuration after, MilliDuration awayFor)
 {
-  const auto restoreLater = [this,
-                             copy = this->parts.store.copy()](int drills) {
-    this->parts.timers.after(
-      this->randomDuration(500, 3000),
-      [this, copy, drills] { this->restoreStore(copy, drills); });
-  };
-  // Some drills follow each other within seconds.
-  restoreLater(this->randomBelow(3) == 0 ? 2 : 1);
+  this->parts.timers.after(after,
+                           [this, copy = this->parts.store.copy(), awayFor] {
+                             this->beginDrill(copy, awayFor);
+                           });
 }
 
 void
-Faults::restoreStore(const standin::StoreData::Copy& copy, int drills)
+Faults::beginDrill(const standin::StoreData::Copy& copy, MilliDuration awayFor)
 {
   this->parts.guarantees.recordFault("restore", std::to_string(copy.revision));
   ++this->activeStoreFaults;
   this->parts.storeStability.beginFault();
   this->parts.store.setFault(standin::StoreFault::busy);
-  this->parts.timers.after(
-    this->randomDuration(200, 1000), [this, copy, drills] {
-      this->parts.store.restore(copy);
-      if (this->activeStoreFaults == 1) {
-        this->parts.store.setFault(standin::StoreFault::none);
-      }
-      this->parts.targets.onStoreRestored();
-      this->parts.routes.writeNewest();
-      this->parts.timers.after(internal::kRewriteTime,
-                               [this] { this->endStoreFault(); });
-      if (drills > 1) {
-        this->parts.timers.after(
-          this->randomDuration(100, 1000),
-          [this, copy, drills] { this->restoreStore(copy, drills - 1); });
-      }
-    });
+  this->parts.targets.onStoreAway();
+  this->parts.timers.after(awayFor, [this, copy] {
+    this->parts.store.restore(copy);
+    if (this->activeStoreFaults == 1) {
+      this->parts.store.setFault(standin::StoreFault::none);
+    }
+    this->parts.targets.onStoreRestored();
+    this->parts.routes.writeNewest();
+    this->parts.timers.after(internal::kRewriteTime,
+                             [this] { this->endStoreFault(); });
+  });
 }
 
 void
-Faults::expireRegistrations()
+Faults::expireRegistrations(MilliDuration duration)
 {
   if (this->activeStoreFaults > 0) {
     return;
   }
   ++this->activeStoreFaults;
   this->parts.storeStability.beginFault();
-  const MilliDuration duration = this->randomDuration(1000, 4000);
   this->parts.targets.removeRegistrations(duration);
   this->parts.timers.after(duration, [this] { this->endStoreFault(); });
 }
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -18,6 +18,23 @@
   /// some seconds after that.
   void start(MilliDuration duration);
 
+  /// \brief Lets the store come back from a copy of its present data.
+  /// \param after time until it goes away
+  /// \param awayFor time until it is back
+  void drill(MilliDuration after, MilliDuration awayFor);
+  /// \brief Kills all instances, which start again after \a downFor.
+  void killAll(MilliDuration downFor);
+  /// \brief Stops and starts all instances one after the other.
+  void roll(MilliDuration gap);
+  /// \brief Lets the store refuse or ignore all requests of the instances.
+  void breakStore(standin::StoreFault fault, MilliDuration duration);
+  /// \brief Removes the registrations of all targets from the store, which
+  /// fails for \a duration, unless another fault of the store is active.
+  void expireRegistrations(MilliDuration duration);
+  void dropHistory();
+  /// \brief Changes the services of routes \a count times.
+  void changeRoutes(std::size_t count, MilliDuration gap);
+
 private:
   emulator::EmulationParts& parts;
   Random random;
@@ -46,17 +63,9 @@
   void addStoreFaults();
   void addTargetFaults();
   void addOperatorChanges();
-  void killAllInstances();
-  void injectStoreFault();
+  void addPlannedWork();
   void endStoreFault();
-  /// \brief Keeps a copy of the store's data, from which it comes back some
-  /// seconds later.
-  void keepCopy();
-  /// \param drills number of times that the store comes back from the copy
-  void restoreStore(const standin::StoreData::Copy& copy, int drills);
-  /// \brief Removes the registrations of all targets from the store for 1 s to
-  /// 4 s, unless another fault of the store is active.
-  void expireRegistrations();
+  void beginDrill(const standin::StoreData::Copy& copy, MilliDuration awayFor);
   void changeRoute();
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,8 +1,10 @@
 /// \file
 /// \brief Fault injection test: runs the daemon in several processes on the
-/// loopback interface, injects a seeded series of faults and checks the
-/// daemon's guarantees by what callers and targets observe.
+/// loopback interface, injects a seeded series of faults, or plays the events
+/// of a day, and checks the daemon's guarantees by what callers and targets
+/// observe.
 
+#include "Day.h"
 #include "Faults.h"
 
 #include <emulator/Emulation.h>
@@ -10,7 +12,9 @@
 
 #include <csignal>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
+#include <sstream>
 #include <tclap/CmdLine.h>
 
 namespace buckthornwing::soak {
@@ -32,6 +36,8 @@
 {
   emulator::EmulationSettings emulation;
   MilliDuration injectionTime;
+  std::string deploymentFile; ///< empty: a deployment with two zones
+  std::string dayFile;        ///< empty: a random series of faults
 };
 
 Flags
@@ -62,15 +68,67 @@
                                          "",
                                          "DIR",
                                          command);
+  using File = TCLAP::ValueArg<std::string>;
+  File deployment("",
+                  "deployment",
+                  "file of a deployment, instead of the numbers of parts",
+                  false,
+                  "",
+                  "FILE",
+                  command);
+  File day("",
+           "day",
+           "file of a day, instead of a random series of faults",
+           false,
+           "",
+           "FILE",
+           command);
   command.parse(argc, argv);
   return { { seed.getValue(),
-             instances.getValue(),
-             targets.getValue(),
-             callers.getValue(),
+             emulator::makeDeployment(
+               instances.getValue(), targets.getValue(), callers.getValue()),
              program.getValue(),
              directory.getValue() },
            MilliDuration{ static_cast<std::int64_t>(seconds.getValue()) *
-                          1000 } };
+                          1000 },
+           deployment.getValue(),
+           day.getValue() };
+}
+
+boost::leaf::result<std::string>
+readFile(const std::string& path)
+{
+  std::ifstream file(path);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return boost::leaf::new_error(Error{ "read file", path, "can't be read" });
+  }
+  return text.str();
+}
+
+/// \returns the settings of the emulation, with the deployment of a file if one
+/// is given.
+boost::leaf::result<emulator::EmulationSettings>
+emulationSettings(const Flags& flags)
+{
+  emulator::EmulationSettings settings = flags.emulation;
+  if (!flags.deploymentFile.empty()) {
+    BOOST_LEAF_AUTO(text, readFile(flags.deploymentFile));
+    BOOST_LEAF_ASSIGN(settings.deployment,
+                      emulator::parseDeployment(text, flags.deploymentFile));
+  }
+  return settings;
+}
+
+boost::leaf::result<std::vector<DayEvent>>
+readDay(const Flags& flags)
+{
+  if (flags.dayFile.empty()) {
+    return std::vector<DayEvent>{};
+  }
+  BOOST_LEAF_AUTO(text, readFile(flags.dayFile));
+  return parseDay(text, flags.dayFile);
 }
 
 void
@@ -100,14 +158,24 @@
 run(const Flags& flags)
 {
   using emulator::Bounds;
-  emulator::Emulation emulation(flags.emulation);
+  BOOST_LEAF_AUTO(settings, emulationSettings(flags));
+  BOOST_LEAF_AUTO(day, readDay(flags));
+  emulator::Emulation emulation(settings);
   BOOST_LEAF_CHECK(emulation.start(kWarmUp));
   Faults faults(emulation.parts(), flags.emulation.seed + 2);
   const emulator::Timers& timers = emulation.parts().timers;
-  const MilliDuration recoveryTime = kWarmUp + flags.injectionTime +
-                                     kMaxFaultDuration +
-                                     Bounds::kMaxRecoveryTime;
-  timers.after(kWarmUp, [&] { faults.start(flags.injectionTime); });
+  const MilliDuration injectionTime =
+    day.empty() ? flags.injectionTime
+                : lengthOf(day, emulation.parts().deployment);
+  const MilliDuration recoveryTime =
+    kWarmUp + injectionTime + kMaxFaultDuration + Bounds::kMaxRecoveryTime;
+  timers.after(kWarmUp, [&] {
+    if (day.empty()) {
+      faults.start(injectionTime);
+    } else {
+      playDay(day, emulation.parts(), faults);
+    }
+  });
   timers.after(recoveryTime, [&] { onRecovered(emulation); });
   timers.after(recoveryTime + kRequestPhase,
                [&] { emulation.load().stopRequests(); });
--- a/standin/StoreEntries.cpp
+++ b/standin/StoreEntries.cpp
@@ -14,7 +14,7 @@
                          { "version", "1" },
                          { "slots", entry.slots },
                          { "state", entry.isDraining ? "draining" : "ready" },
-                         { "warmup_left_ms", 0 },
+                         { "warmup_left_ms", entry.remainingWarmUp.ms },
                          { "seq", 1 },
                          { "born", entry.incarnation } });
 }
--- a/standin/StoreEntries.h
+++ b/standin/StoreEntries.h
@@ -17,6 +17,7 @@
   unsigned slots = 1;
   bool isDraining = false;
   std::uint64_t incarnation = 0; ///< start time, ms of wall clock time
+  MilliDuration remainingWarmUp{};
 };
 
 /// \brief The service that receives new flows to a destination.
--- a/test/emulator.cpp
+++ b/test/emulator.cpp
@@ -2,6 +2,7 @@
 /// \brief Tests of the emulator: it reports exactly the violations of the
 /// daemon's guarantees.
 
+#include <emulator/Deployment.h>
 #include <emulator/Routes.h>
 #include <emulator/Targets.h>
 #include <platform/PacketCodec.h>
@@ -55,7 +56,7 @@
 {
   boost::asio::io_context context;
   standin::StoreStandin store(context, 10);
-  Routes routes(store, Addresses{ 99 });
+  Routes routes(store, Addresses{ 99 }, { "booking", "billing" });
   routes.change(1, "booking");
   routes.change(0, std::nullopt);
   const auto billing = routes.versionsOf(1, "billing");
@@ -90,8 +91,9 @@
   boost::asio::io_context context;
   standin::StoreStandin store(context, 10);
   Guarantees guarantees(bootTime());
-  Targets targets(context, Addresses{ 98 }, store, guarantees, {});
-  targets.start(2);
+  const Deployment deployment = makeDeployment(2, 2, 0);
+  Targets targets(context, Addresses{ 98 }, store, guarantees, deployment, {});
+  targets.start();
   targets.isolate(0, 2500_ms);
   targets.removeRegistrations(100_ms);
   context.run_for(std::chrono::milliseconds(1800));
@@ -100,3 +102,79 @@
   context.run_for(std::chrono::milliseconds(1200));
   cr_assert(targets.at(0).isRegistered);
 }
+
+Test(targets, a_released_target_is_replaced_by_one_of_its_service_and_zone)
+{
+  boost::asio::io_context context;
+  standin::StoreStandin store(context, 10);
+  Guarantees guarantees(bootTime());
+  const Deployment deployment = makeDeployment(2, 2, 0);
+  Targets targets(context, Addresses{ 97 }, store, guarantees, deployment, {});
+  targets.start();
+  const std::uint64_t released = targets.at(0).number;
+  targets.release(0, 100_ms);
+  context.run_for(std::chrono::milliseconds(50));
+  cr_assert_eq(targets.size(), 3);
+  cr_assert(targets.at(0).state == Target::State::draining);
+  cr_assert(targets.at(0).drainingSince.has_value());
+  cr_assert_eq(targets.at(2).service, 0);
+  cr_assert_eq(targets.at(2).zone, targets.at(0).zone);
+  cr_assert_eq(targets.at(0).number, released);
+  targets.scaleIn(0, 5);
+  cr_assert(targets.at(2).state == Target::State::serving, "one remains");
+}
+
+/// Guards against targets whose entries never change: a lost or repeated
+/// revision then touches nobody.
+Test(targets, a_target_writes_its_falling_warm_up_until_the_store_is_away)
+{
+  boost::asio::io_context context;
+  standin::StoreStandin store(context, 10);
+  Guarantees guarantees(bootTime());
+  const Deployment deployment = makeDeployment(2, 1, 0);
+  Targets targets(context, Addresses{ 96 }, store, guarantees, deployment, {});
+  targets.start();
+  const std::uint64_t registered = store.copy().revision;
+  context.run_for(std::chrono::milliseconds(2500));
+  context.restart();
+  const auto copy = store.copy();
+  cr_assert_geq(copy.revision, registered + 2);
+  targets.onStoreAway();
+  context.run_for(std::chrono::milliseconds(1300));
+  context.restart();
+  cr_assert_eq(store.copy().revision, copy.revision);
+  store.restore({});
+  targets.onStoreRestored();
+  context.run_for(std::chrono::milliseconds(1300));
+  cr_assert(store.find("servers/" + formatTargetId(targets.at(0).number)));
+}
+
+Test(deployments, wrong_fields_are_named)
+{
+  const auto problemsOf = [](const char* text) {
+    return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<std::string> {
+        BOOST_LEAF_CHECK(parseDeployment(text, "file"));
+        return std::string();
+      },
+      [](const Error& error) { return formatError(error); },
+      [] { return std::string("unknown"); });
+  };
+  cr_assert_eq(problemsOf(R"({"zones":[
+      {"name":"a","instances":2,"callers":3},
+      {"name":"b","instances":1,"callers":0}],
+    "services":[{"name":"s","targets":[2,1]},
+      {"name":"t","targets":[1,0],"slots":3,"warm_up_ms":900}],
+    "drain_ms":5000})"),
+               "");
+  const std::string problems = problemsOf(R"({"zones":[
+      {"name":"a","instances":500,"callers":3,"color":1}],
+    "services":[{"name":"s","targets":[2,1]}],"drain_ms":0})");
+  for (const char* path : { "$.zones[0].instances",
+                            "$.zones[0].color",
+                            "$.services[0].targets",
+                            "$.services",
+                            "$.drain_ms" }) {
+    cr_assert_neq(problems.find(path), std::string::npos, "%s", path);
+  }
+}
