--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -76,14 +76,19 @@
   this->timers.every(phase, [this] { this->sendHeartbeats(); });
 }
 
+bool
+Targets::isAddressFree(const Target& target)
+{
+  return target.isLast && target.state == Target::State::gone &&
+         bootTime() - target.endedAt >= internal::kAddressReuseDelay;
+}
+
 void
 Targets::add(std::size_t service, const std::string& zone)
 {
   std::size_t index = 0;
-  // The address of a target that ended for good may be used again.
   while (index < this->targets.size() &&
-         !(this->targets[index]->isLast &&
-           this->targets[index]->state == Target::State::gone)) {
+         !this->isAddressFree(*this->targets[index])) {
     ++index;
   }
   if (index == this->targets.size()) {
@@ -512,6 +517,7 @@
 {
   Target& target = *this->targets[index];
   target.state = Target::State::gone;
+  target.endedAt = bootTime();
   target.flows.clear();
   target.packets->close();
   this->closedPackets.push_back(std::move(target.packets));
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -69,6 +69,7 @@
   bool isRegistered = false;
   std::uint64_t incarnation = 0;
   MilliTime startedAt{};
+  MilliTime endedAt{}; ///< when its address became free
   MilliTime registeredAt{};
   std::optional<MilliTime> drainingSince; ///< when the store had the state
   Stability stability;
@@ -187,6 +188,8 @@
   std::size_t heartbeatPhase = 0;
   std::size_t nextChanged = 0; ///< index for changeNextEntry()
 
+  /// \returns whether another target may start at a target's address.
+  static bool isAddressFree(const Target& target);
   const ServiceShape& shapeOf(const Target& target) const
   {
     return this->deployment.services[target.service];
--- a/standin/StoreData.cpp
+++ b/standin/StoreData.cpp
@@ -105,7 +105,7 @@
   body["items"] = std::move(page);
   body["has_more"] = hasMore;
   body["as_of"] = this->currentRevision;
-  return { 200, boost::json::serialize(body) };
+  return { 200, boost::json::serialize(body), hasMore };
 }
 
 std::optional<StoreAnswer>
--- a/standin/StoreData.h
+++ b/standin/StoreData.h
@@ -15,6 +15,7 @@
 {
   unsigned status = 200; ///< HTTP status
   std::string body;      ///< JSON
+  bool hasMore = false;  ///< a page of a listing that is followed by another
 };
 
 /// \brief Data of the platform's metadata store: keys that have revisions,
--- a/standin/StoreStandin.cpp
+++ b/standin/StoreStandin.cpp
@@ -135,10 +135,10 @@
                    const HttpServer::Respond& respond)
 {
   const std::string prefix = internal::queryText(target, "prefix");
-  this->reply(respond,
-              this->data.list(
-                prefix, internal::queryText(target, "after"), this->pageItems));
-  if (this->afterPage) {
+  const StoreAnswer page = this->data.list(
+    prefix, internal::queryText(target, "after"), this->pageItems);
+  this->reply(respond, page);
+  if (this->afterPage && page.hasMore) {
     this->afterPage(prefix);
   }
 }
--- a/standin/StoreStandin.h
+++ b/standin/StoreStandin.h
@@ -57,7 +57,7 @@
 
   void setFault(StoreFault newFault) { this->fault = newFault; }
   /// \brief Sets a function that is called with the prefix after the response
-  /// to each page of a listing.
+  /// to each page of a listing that is followed by another one.
   void setAfterPage(std::function<void(const std::string&)> function)
   {
     this->afterPage = std::move(function);
