--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -1,20 +1,13 @@
 #include "Targets.h"
 
-#include <platform/PacketCodec.h>
 #include <platform/StoreItems.h>
 #include <standin/StoreEntries.h>
 
 #include <algorithm>
-#include <boost/endian/conversion.hpp>
-#include <iomanip>
-#include <sstream>
 
 namespace buckthornwing::emulator {
 namespace internal {
 
-constexpr MilliDuration kServiceTime{ 15 };
-/// \brief Network delay from a target to a caller.
-constexpr MilliDuration kReplyDelay{ 2 };
 /// \brief The registration of a crashed target expires after three heartbeat
 /// periods.
 constexpr MilliDuration kRegistrationLifetime{ 3600 };
@@ -30,7 +23,6 @@
 constexpr MilliDuration kHeartbeatPeriod{ 1200 };
 /// \brief Parts of the period in which different targets send heartbeats.
 constexpr std::size_t kHeartbeatPhases = 12;
-constexpr std::uint32_t kAnswerBytes = 100;
 
 }
 
@@ -46,18 +38,10 @@
   , store(store)
   , guarantees(guarantees)
   , deployment(deployment)
-  , hooks(std::move(hooks))
+  , traffic(context, guarantees, deployment, std::move(hooks))
 {
 }
 
-std::string
-formatTargetId(std::uint64_t number)
-{
-  std::ostringstream id;
-  id << "i-" << std::hex << std::setw(8) << std::setfill('0') << number;
-  return id.str();
-}
-
 void
 Targets::start()
 {
@@ -435,8 +419,9 @@
   this->guarantees.mustSucceed([&] {
     return target.packets->open(
       this->addresses.target(index),
-      [this, index](std::span<const std::uint8_t> bytes, const Endpoint& from) {
-        this->onDatagram(index, bytes, from);
+      [this, &target](std::span<const std::uint8_t> bytes,
+                      const Endpoint& from) {
+        this->traffic.onDatagram(target, bytes, from);
       });
   });
   this->openHealth(index);
@@ -547,145 +532,4 @@
   this->store.remove(this->storeKeyOf(former));
 }
 
-void
-Targets::onDatagram(std::size_t index,
-                    std::span<const std::uint8_t> bytes,
-                    const Endpoint& from)
-{
-  Target& target = *this->targets[index];
-  CallerPacket packet;
-  if (bytes.size() < platform::kTargetPrefixBytes ||
-      platform::PacketCodec::parse(bytes.subspan(platform::kTargetPrefixBytes),
-                                   packet) != PacketFault::none) {
-    this->guarantees.reportViolation("packets_unchanged",
-                                     "a target received an invalid packet");
-    return;
-  }
-  const std::uint64_t number = boost::endian::load_big_u64(bytes.data());
-  if (!packet.isOpening) {
-    this->hooks.onPacket(packet, number);
-  }
-  if (number != target.number || target.state == Target::State::silent) {
-    return;
-  }
-  if (packet.isOpening) {
-    this->onOpening(target, packet, from);
-  } else {
-    this->onData(index, packet);
-  }
-}
-
-void
-Targets::onOpening(Target& target,
-                   const CallerPacket& packet,
-                   const Endpoint& from)
-{
-  this->hooks.onOpening(packet, target, from);
-  const auto sequence = static_cast<std::uint32_t>(mixWords(
-    target.number + target.incarnation, flowIdOf(packet.flow, 1).bits));
-  const auto [found, isNew] = target.flows.try_emplace(
-    packet.flow, Target::FlowState{ packet.tag, sequence });
-  if (found->second.tag != packet.tag) {
-    this->guarantees.reportViolation("one_tag", formatFlowKey(packet.flow));
-  }
-  TargetMessage message;
-  message.kind = TargetMessage::Kind::accept;
-  message.flow = packet.flow;
-  message.sequence = sequence + 1;
-  this->send(target, message);
-}
-
-void
-Targets::onData(std::size_t index, const CallerPacket& packet)
-{
-  Target& target = *this->targets[index];
-  const auto found = target.flows.find(packet.flow);
-  if (found == target.flows.end()) {
-    TargetMessage message;
-    message.kind = TargetMessage::Kind::reset;
-    message.flow = packet.flow;
-    if (!packet.isFinish) {
-      this->send(target, message);
-    }
-    return;
-  }
-  if (packet.isFinish) {
-    target.flows.erase(found);
-    return;
-  }
-  if (packet.payload.empty() ||
-      !found->second.receivedSequences.insert(packet.sequence).second) {
-    return;
-  }
-  const std::string id(platform::PacketCodec::requestId(packet.payload));
-  const FlowKey flow = packet.flow;
-  if (target.busySlots < this->shapeOf(target).slots) {
-    this->startWork(index, flow, id);
-  } else {
-    target.waitingRequests.push_back(
-      [this, index, flow, id] { this->startWork(index, flow, id); });
-  }
-}
-
-void
-Targets::startWork(std::size_t index,
-                   const FlowKey& flow,
-                   const std::string& id)
-{
-  Target& target = *this->targets[index];
-  ++target.busySlots;
-  const std::uint64_t incarnation = target.incarnation;
-  this->timers.after(internal::kServiceTime,
-                     [this, index, incarnation, flow, id] {
-                       this->finishWork(index, incarnation, flow, id);
-                     });
-}
-
-void
-Targets::finishWork(std::size_t index,
-                    std::uint64_t incarnation,
-                    const FlowKey& flow,
-                    const std::string& id)
-{
-  Target& target = *this->targets[index];
-  if (target.busySlots > 0) {
-    --target.busySlots;
-  }
-  if (!target.waitingRequests.empty()) {
-    const auto next = std::move(target.waitingRequests.front());
-    target.waitingRequests.pop_front();
-    next();
-  }
-  const auto found = target.flows.find(flow);
-  if (target.incarnation != incarnation || found == target.flows.end()) {
-    return;
-  }
-  TargetMessage message;
-  message.kind = TargetMessage::Kind::answer;
-  message.flow = flow;
-  message.requestId = id;
-  found->second.sequence += internal::kAnswerBytes;
-  message.sequence = found->second.sequence + 1;
-  this->send(target, message);
-  if (target.state == Target::State::draining) {
-    message.kind = TargetMessage::Kind::finish;
-    this->send(target, message);
-  }
-}
-
-void
-Targets::send(const Target& target, TargetMessage message)
-{
-  message.target = target.number;
-  const auto found = target.flows.find(message.flow);
-  message.tag = found == target.flows.end() ? FlowTag{} : found->second.tag;
-  const std::uint64_t number = target.number;
-  this->timers.after(internal::kReplyDelay, [this, number, message] {
-    const Target* sender = this->find(number);
-    if (sender != nullptr && sender->state != Target::State::silent) {
-      this->hooks.onMessage(message);
-    }
-  });
-}
-
 }
