Interfaces of the parts for two customers with hard load

Messages between instances can carry evacuations, service times, sums of a zone's loads, a rate for cold targets and an instance's capacity class, all optional, so that instances of both versions understand each other. Reasons, events and settings of the parts have their names.

--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -25,6 +25,9 @@
   out.incarnation = static_cast<std::int64_t>(member.incarnation);
   out.stopping = member.stopping;
   out.hasView = member.hasView;
+  if (member.capacityClass > 0) {
+    out.__set_capacityClass(static_cast<std::int8_t>(member.capacityClass));
+  }
   return out;
 }
 
@@ -37,9 +40,24 @@
   out.incarnation = static_cast<std::uint64_t>(in.incarnation);
   out.stopping = in.stopping;
   out.hasView = in.hasView;
+  out.capacityClass =
+    in.__isset.capacityClass
+      ? static_cast<std::uint8_t>(std::max<std::int8_t>(in.capacityClass, 0))
+      : 0;
   return true;
 }
 
+constexpr double kTenthsPerMs = 10;
+constexpr double kMaxServiceMs = 1'000'000;
+
+/// \returns a time in ms in whole tenths, limited to a plausible range.
+std::int32_t
+toTenths(double ms)
+{
+  return static_cast<std::int32_t>(std::clamp(ms, 0.0, kMaxServiceMs) *
+                                   kTenthsPerMs);
+}
+
 fleetwire::TargetReport
 toWire(const TargetReport& report)
 {
@@ -52,6 +70,15 @@
     out.__set_sinceProgressMs(toWireMs(*report.sinceProgress));
   }
   out.dead = report.dead;
+  if (report.serviceMs) {
+    out.__set_serviceTenthMs(toTenths(*report.serviceMs));
+  }
+  if (report.totalFlows) {
+    out.__set_totalFlows(*report.totalFlows);
+  }
+  if (report.totalBusy) {
+    out.__set_totalBusy(*report.totalBusy);
+  }
   return out;
 }
 
@@ -67,6 +94,15 @@
     out.sinceProgress = MilliDuration{ in.sinceProgressMs };
   }
   out.dead = in.dead;
+  if (in.__isset.serviceTenthMs) {
+    out.serviceMs = std::max(in.serviceTenthMs, 0) / kTenthsPerMs;
+  }
+  if (in.__isset.totalFlows) {
+    out.totalFlows = std::max(in.totalFlows, 0);
+  }
+  if (in.__isset.totalBusy) {
+    out.totalBusy = std::max(in.totalBusy, 0);
+  }
   return out;
 }
 
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_FLEET_MESSAGE_H
 #define BUCKTHORNWING_FLEET_MESSAGE_H
 
+#include "../View/EvacuationList.h"
 #include "../View/EventStamp.h"
 #include "../View/RouteIndex.h"
 #include "../View/TargetRecord.h"
@@ -22,6 +23,9 @@
   std::uint64_t incarnation = 0; ///< different for each run of the process
   bool stopping = false;
   bool hasView = false; ///< it has targets and routes to pass on
+  /// Class of the instance's link and processor, see capacityClassOf(); members
+  /// of a higher class do the work for the fleet first.
+  std::uint8_t capacityClass = 0;
 
   bool operator==(const FleetMember&) const = default;
 };
@@ -40,6 +44,9 @@
   EventStamp targetsConfirmation;    ///< event that \a targetsAge refers to
   EventStamp routesConfirmation;     ///< event that \a routesAge refers to
   EventStamp storeFailure; ///< event that \a sinceStoreFailure refers to
+  /// All evacuations; nothing if the instance has not read them, or does not
+  /// know of evacuations.
+  std::optional<EvacuationList> evacuations;
 };
 
 /// \brief Load and health of one target as measured by one instance.
@@ -53,6 +60,12 @@
   /// seen to answer.
   std::optional<MilliDuration> sinceProgress;
   bool dead = false; ///< probes found that it does not answer
+  /// Mean time that a request occupies a slot, in ms; nothing if unknown.
+  std::optional<double> serviceMs{};
+  /// Sum over all instances, as known to the sender; nothing unless the target
+  /// is of the sender's zone.
+  std::optional<std::int32_t> totalFlows{};
+  std::optional<std::int32_t> totalBusy{}; ///< like \a totalFlows
 };
 
 /// \brief Full gossip entry of a member that the sender knows.
--- a/buckthornwing/src/Fleet/ViewWire.cpp
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -21,6 +21,36 @@
   return { static_cast<std::uint32_t>(in.origin), in.at };
 }
 
+fleetwire::Evacuations
+toWire(const EvacuationList& list)
+{
+  fleetwire::Evacuations out;
+  out.revision = static_cast<std::int64_t>(list.asOf.revision);
+  out.era = static_cast<std::int64_t>(list.asOf.era);
+  for (const Evacuation& evacuation : list.zones) {
+    fleetwire::EvacuatedZone zone;
+    zone.zone = evacuation.zone;
+    zone.revision = static_cast<std::int64_t>(evacuation.version.revision);
+    zone.era = static_cast<std::int64_t>(evacuation.version.era);
+    out.zones.push_back(std::move(zone));
+  }
+  return out;
+}
+
+EvacuationList
+fromWire(const fleetwire::Evacuations& in)
+{
+  EvacuationList out;
+  out.asOf = { static_cast<StoreEra>(in.era),
+               static_cast<std::uint64_t>(in.revision) };
+  for (const fleetwire::EvacuatedZone& zone : in.zones) {
+    out.zones.push_back({ zone.zone,
+                          { static_cast<StoreEra>(zone.era),
+                            static_cast<std::uint64_t>(zone.revision) } });
+  }
+  return out;
+}
+
 fleetwire::ViewVersions
 toWire(const ViewVersions& view)
 {
@@ -40,6 +70,9 @@
   if (view.routesEra) {
     out.__set_routesEra(static_cast<std::int64_t>(*view.routesEra));
   }
+  if (view.evacuations) {
+    out.__set_evacuations(toWire(*view.evacuations));
+  }
   return out;
 }
 
@@ -62,6 +95,9 @@
   if (in.__isset.routesEra) {
     out.routesEra = static_cast<StoreEra>(in.routesEra);
   }
+  if (in.__isset.evacuations) {
+    out.evacuations = fromWire(in.evacuations);
+  }
   return out;
 }
 
@@ -188,6 +224,9 @@
     wireService.name = service.name;
     wireService.selector = formatSelector(service.selector);
     wireService.healthPath = service.healthPath;
+    if (service.warmupRate > 0) {
+      wireService.__set_warmupRate(service.warmupRate);
+    }
     out.services.push_back(std::move(wireService));
   }
   for (const Route& route : changes.routes) {
@@ -211,8 +250,10 @@
     if (selector == nullptr) {
       return false;
     }
+    const bool isLimited = service.__isset.warmupRate && service.warmupRate > 0;
+    const double warmupRate = isLimited ? service.warmupRate : 0.0;
     out.services.push_back(
-      { service.name, std::move(*selector), service.healthPath });
+      { service.name, std::move(*selector), service.healthPath, warmupRate });
   }
   for (const fleetwire::Route& route : in.routes) {
     Route parsed;
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -9,6 +9,7 @@
   4: i64 incarnation
   5: bool stopping
   6: bool hasView
+  7: optional i8 capacityClass // not set by versions that don't know it
 }
 
 // A member that the sender knows, and the time since any instance received a
@@ -25,6 +26,20 @@
   2: i64 at
 }
 
+// A zone that the operator has evacuated, with the version of its entry.
+struct EvacuatedZone {
+  1: string zone
+  2: i64 revision
+  3: i64 era
+}
+
+// All evacuations up to a position in the store's history.
+struct Evacuations {
+  1: i64 revision
+  2: i64 era
+  3: list<EvacuatedZone> zones
+}
+
 struct ViewVersions {
   1: i64 targetsRevision
   2: i64 routesVersion
@@ -38,6 +53,8 @@
   // Eras of the two revisions; not set by versions that know no eras.
   10: optional i64 targetsEra
   11: optional i64 routesEra
+  // Not set by versions that don't know evacuations.
+  12: optional Evacuations evacuations
 }
 
 // Field 1 was the target's number, which several entries may have.
@@ -48,6 +65,11 @@
   5: optional i32 sinceProgressMs // not set: the target was never seen to answer
   6: bool dead
   7: i32 target // short hash of the target's id
+  8: optional i32 serviceTenthMs // mean service time, in tenths of a millisecond
+  // Sums over all instances, as known to the sender. Set for targets of the
+  // sender's zone only.
+  9: optional i32 totalFlows
+  10: optional i32 totalBusy
 }
 
 struct Heartbeat {
@@ -110,6 +132,7 @@
   1: string name
   2: string selector
   3: string healthPath
+  4: optional double warmupRate // requests a second that a cold target bears
 }
 
 struct RouteChanges {
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -10,6 +10,9 @@
 
 constexpr std::uint64_t kMaxStopSeconds = 3600;
 constexpr double kMaxLinkMegabits = 1'000'000;
+constexpr double kMaxCores = 1000;
+constexpr double kMaxWarmupOverage = 1000;
+constexpr double kMaxWarmupSlack = 1'000'000;
 constexpr std::uint64_t kMaxHeartbeatMs = 60000;
 /// \brief Missed heartbeats after which the store removes a registration.
 constexpr std::int64_t kHeartbeatsPerLifetime = 3;
@@ -64,6 +67,11 @@
   settings.tag.seeds = parseSeeds(reader, problems);
   settings.tag.linkMegabits =
     reader.decimal("link_mbps", 0, kMaxLinkMegabits, 0);
+  settings.tag.cpuShare = reader.decimal("cpu_share", 0, kMaxCores, 0);
+  settings.tag.warmupOverage =
+    reader.decimal("warmup_overage", 0, kMaxWarmupOverage, 1);
+  settings.tag.warmupSlack =
+    reader.decimal("warmup_slack", 0, kMaxWarmupSlack, 0);
   settings.tag.isFirstStart = reader.flag("first_start", false);
   settings.tag.policy = parsePolicy(reader);
   return settings;
--- a/buckthornwing/src/Steering/SteeringDecision.cpp
+++ b/buckthornwing/src/Steering/SteeringDecision.cpp
@@ -44,6 +44,12 @@
       return "target_silent";
     case SteeringReason::strayOpening:
       return "stray_opening";
+    case SteeringReason::evacuated:
+      return "evacuated";
+    case SteeringReason::overloaded:
+      return "overloaded";
+    case SteeringReason::warmingUp:
+      return "warming_up";
   }
   return "unknown";
 }
--- a/buckthornwing/src/Steering/SteeringDecision.h
+++ b/buckthornwing/src/Steering/SteeringDecision.h
@@ -32,9 +32,13 @@
   targetGone,   ///< the target is dead and has left the registry
   targetSilent, ///< the target is dead but has not left the registry
   strayOpening, ///< an opening with a tag or payload
+  evacuated,    ///< all targets that could take the flow are in evacuated zones
+  overloaded,   ///< the service has no room for requests of this priority
+  warmingUp,    ///< all targets that could take the flow are cold and at their
+                ///< limit
 };
 
-inline constexpr std::size_t kSteeringReasonCount = 11;
+inline constexpr std::size_t kSteeringReasonCount = 14;
 
 /// \returns the stable lower-case name of a value in logs and metrics.
 const char*
--- a/buckthornwing/src/Steering/TagEvent.cpp
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -48,6 +48,20 @@
       return "store_read";
     case TagEventKind::paused:
       return "paused";
+    case TagEventKind::zoneEvacuated:
+      return "zone_evacuated";
+    case TagEventKind::zoneReturned:
+      return "zone_returned";
+    case TagEventKind::overloadBegan:
+      return "overload_began";
+    case TagEventKind::overloadEnded:
+      return "overload_ended";
+    case TagEventKind::targetSpeed:
+      return "target_speed";
+    case TagEventKind::slowStartBegan:
+      return "slow_start_began";
+    case TagEventKind::slowStartEnded:
+      return "slow_start_ended";
   }
   return "unknown";
 }
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -32,6 +32,13 @@
   viewFetched,         ///< a large update was fetched from a member
   storeRead,           ///< a large answer of the store was received
   paused,              ///< the process did not run for a while
+  zoneEvacuated,       ///< the zone, which is the subject, takes no new flows
+  zoneReturned,        ///< the zone takes new flows again
+  overloadBegan,       ///< a service begins to refuse openings of a priority
+  overloadEnded,       ///< it refuses none of them any more
+  targetSpeed,    ///< a target's speed differs from its service's, or no longer
+  slowStartBegan, ///< new flows to a cold target are limited
+  slowStartEnded, ///< the target is warm
 };
 
 /// \returns the stable lower-case name of an event kind in the log.
--- a/buckthornwing/src/View/Route.h
+++ b/buckthornwing/src/View/Route.h
@@ -37,6 +37,8 @@
   std::string name;
   Selector selector;
   std::string healthPath; ///< path of the HTTP health check
+  /// Requests a second that a cold target bears; 0: not limited.
+  double warmupRate = 0;
 };
 
 /// \brief A service of a route; new flows are split in proportion to the
