A cold target gets no more flows than its service's rate permits

Callers of a service whose targets had just started, or came back from an evacuation, were all sent to these: they are empty, so placement by load prefers them, and every instance does so by itself. Such a target bears only few requests a second, which a service can now publish (warmup_per_s).

All instances together place at most rate x overage + slack flows on a cold target in any second, without a coordinator and without new messages. Half of that is dealt out in whole flows among the active members of the target's zone; each member counts its own placements in a sliding window. A share rises only after 5 s of the same or a higher value, falls at once, and is lost by a pause of a second and by seeing less than half of the fleet. Without room on a cold target, placement takes others; without any, the opening is reset with the reason warming_up. Without a published rate no decision changes.

Instances that start later get the remaining time of a slow start from a peer as it is then, not as it was published.

Weighed: slots of a common clock (clocks differ by more), one instance for each target (its callers alone could use it), shares of all instances (below one flow each). An allowance below 2 leaves no whole flow to share out; the target waits until it is warm. A gentler return below the limit is left out.

test/tag/view.cpp, test/tag/store_eras.cpp and fuzz/entries.cpp pass the time to changesSince(); they check what they did.

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -97,6 +97,7 @@
     this->startedAt = now;
   }
   this->members.forgetSilent(now);
+  this->publishActiveMembers(now);
   this->exchange.tick(now);
   this->pushView(now);
   if (now >= this->nextZoneHeartbeat) {
@@ -166,6 +167,25 @@
          seeds.end();
 }
 
+bool
+FleetController::hasOtherSeeds() const
+{
+  const auto& seeds = this->board.settings.seeds;
+  return std::any_of(seeds.begin(), seeds.end(), [this](const Endpoint& seed) {
+    return seed != this->members.own().address;
+  });
+}
+
+void
+FleetController::publishActiveMembers(MilliTime now)
+{
+  if (!limitsColdTargets(this->board.routes.routes())) {
+    return;
+  }
+  this->board.activeMembers = this->members.activeMembers(now);
+  this->board.activeMembers.expectsPeers = this->hasOtherSeeds();
+}
+
 bool
 FleetController::shouldReadStore(MilliTime now) const
 {
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -79,6 +79,10 @@
                             MilliTime now);
   void answerStartingMember(const FleetMember& peer, bool isNew, MilliTime now);
   bool isSeed() const;
+  bool hasOtherSeeds() const;
+  /// \brief Publishes the active members on the blackboard, if the limits of
+  /// cold targets need them.
+  void publishActiveMembers(MilliTime now);
   void reportMemberChanges(MilliTime now);
   void reportChangesByZone(std::span<const MemberChange> changes);
 };
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -354,6 +354,20 @@
   return chosen;
 }
 
+ActiveMembers
+FleetMembers::activeMembers(MilliTime now) const
+{
+  ActiveMembers active;
+  active.own = { this->order, zoneKeyOf(this->self.zone) };
+  active.isOwnActive = !this->self.stopping;
+  for (const auto& [address, known] : this->members) {
+    if (this->isActive(known, now)) {
+      active.peers.push_back({ known.order, zoneKeyOf(known.member.zone) });
+    }
+  }
+  return active;
+}
+
 std::size_t
 FleetMembers::liveCount(MilliTime now) const
 {
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_FLEET_MEMBERS_H
 
 #include "../Core/Random.h"
+#include "../SlowStart/ActiveMembers.h"
 #include "FleetMessage.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -140,6 +141,9 @@
   std::vector<const KnownMember*> sampleOtherZones(MilliTime now,
                                                    Random& random) const;
 
+  /// \returns the active members in short form.
+  ActiveMembers activeMembers(MilliTime now) const;
+
   /// \returns the number of live peers.
   std::size_t liveCount(MilliTime now) const;
 
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -240,7 +240,7 @@
 {
   ViewUpdate update;
   update.view = this->messenger.ownView(now);
-  update.targets = this->board.registry.changesSince(since, update.isFull);
+  update.targets = this->board.registry.changesSince(since, update.isFull, now);
   if (!update.isFull) {
     update.targetsBase = since->revision;
     update.unchangedDigest = this->board.registry.digest(*since);
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -3,6 +3,7 @@
 #include "../Peer/PeerSeal.h"
 #include "MetricsWriter.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <span>
 
@@ -115,6 +116,17 @@
   }
 }
 
+/// \returns the number of listed targets that are cold.
+std::size_t
+countCold(const TargetRegistry& registry, MilliTime now)
+{
+  const auto targets = registry.targets();
+  return static_cast<std::size_t>(std::count_if(
+    targets.begin(), targets.end(), [now](const KnownTarget& target) {
+      return target.isCold(now);
+    }));
+}
+
 /// \returns the age of a view in milliseconds; null if it was never confirmed.
 boost::json::value
 ageOrNull(MilliTime confirmedAt, MilliTime now)
@@ -173,6 +185,10 @@
                 "gauge",
                 "Flows whose packets pass here",
                 board.observer.flowCount());
+  writer.single("cold_targets",
+                "gauge",
+                "Targets that have started and are not warm yet",
+                internal::countCold(board.registry, now));
   internal::writeAge("targets_age_milliseconds",
                      "Time since the targets were confirmed",
                      board.targetsConfirmedAt,
@@ -222,12 +238,16 @@
       continue;
     }
     const TargetLoad& load = board.observer.load(slot);
-    targets.push_back({ { "id", target.record.id },
-                        { "takes_new_flows", target.takesNewFlows() },
-                        { "flows", load.flows },
-                        { "busy", load.busy },
-                        { "service_ms", load.serviceMs },
-                        { "peer_flows", load.peerFlows } });
+    boost::json::object fields{ { "id", target.record.id },
+                                { "takes_new_flows", target.takesNewFlows() },
+                                { "flows", load.flows },
+                                { "busy", load.busy },
+                                { "service_ms", load.serviceMs },
+                                { "peer_flows", load.peerFlows } };
+    if (target.isCold(now)) {
+      fields["warm_in_ms"] = target.remainingWarmup(now).ms;
+    }
+    targets.push_back(std::move(fields));
   }
   status["targets"] = std::move(targets);
   return boost::json::serialize(status);
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -1,5 +1,7 @@
 #include "PlacementPolicy.h"
 
+#include "TargetEligibility.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -142,12 +144,15 @@
 HashPlacement::choose(TagBlackboard& board,
                       FlowId flow,
                       ServiceSlot service,
-                      MilliTime /*now*/) const
+                      MilliTime now) const
 {
   TargetSlot best = kNoTargetSlot;
   bool bestIsLocal = false;
   std::uint64_t bestScore = 0;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
+    if (reasonAgainst(board, service, slot, now)) {
+      continue;
+    }
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone;
     const std::uint64_t score = internal::rendezvousScore(flow, target);
@@ -170,6 +175,9 @@
   internal::Candidate own;
   internal::Candidate other;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
+    if (reasonAgainst(board, service, slot, now)) {
+      continue;
+    }
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone ||
                          !board.settings.policy.prefersOwnZone;
--- a/buckthornwing/src/Steering/PlacementPolicy.h
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -7,7 +7,8 @@
 
 namespace buckthornwing {
 
-/// \brief Requirement of a policy that chooses the target of a new flow.
+/// \brief Requirement of a policy that chooses the target of a new flow among
+/// those that reasonAgainst() has nothing against.
 template<typename Policy>
 concept PlacementPolicy = requires(Policy policy,
                                    TagBlackboard& board,
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -1,5 +1,7 @@
 #include "SteeringController.h"
 
+#include "TargetEligibility.h"
+
 namespace buckthornwing {
 namespace internal {
 
@@ -167,8 +169,14 @@
       this->board.tags.mint(this->board.registry, packet.flow, decision.target);
   }
   if (decision.tag.bits == 0) {
-    return this->resetOrDrop(decision, SteeringReason::noTarget, now);
+    const SteeringReason reason =
+      decision.target == kNoTargetSlot
+        ? reasonWithoutTarget(this->board, service, now)
+        : SteeringReason::noTarget;
+    return this->resetOrDrop(decision, reason, now);
   }
+  this->board.slowStart.recordPlacement(
+    this->board.registry.at(decision.target).key, now);
   this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -4,6 +4,7 @@
 #include "../Core/Random.h"
 #include "../Observation/FlowObserver.h"
 #include "../Observation/TargetHealth.h"
+#include "../SlowStart/SlowStartLimiter.h"
 #include "../Tagging/TagIndex.h"
 #include "../View/EventStamp.h"
 #include "../View/RouteIndex.h"
@@ -88,7 +89,10 @@
   MilliDuration lastTickGap{};
   std::vector<TargetHealth> health; ///< indexed by TargetSlot
   std::size_t zonePeers = 0;        ///< live peers in this instance's zone
-  bool stopping = false;            ///< requestStop() was called
+  /// Kept up to date while a service limits its cold targets.
+  ActiveMembers activeMembers;
+  SlowStartLimiter slowStart;
+  bool stopping = false;        ///< requestStop() was called
   std::vector<TagEvent> events; ///< not yet taken by TagEngine::takeEvents()
 
   /// \returns an identifier for an event that this instance observes now.
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -24,6 +24,7 @@
   , steering(this->state, this->health)
   , flowReset(this->state)
   , fleet(this->state, this->view)
+  , slowStart(this->state)
 {
 }
 
@@ -156,6 +157,7 @@
   this->lastTick = now;
   this->view.tick(now);
   this->fleet.tick(now);
+  this->slowStart.tick(now);
   this->health.tick(now);
   if (now - this->lastSweep >= internal::kSweepPeriod) {
     this->lastSweep = now;
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -3,6 +3,7 @@
 
 #include "../Fleet/FleetController.h"
 #include "FlowResetController.h"
+#include "SlowStartController.h"
 #include "SteeringController.h"
 #include "TagBlackboard.h"
 #include "ViewController.h"
@@ -121,6 +122,7 @@
   SteeringController steering;
   FlowResetController flowReset;
   FleetController fleet;
+  SlowStartController slowStart;
   MilliTime lastTick{};
   MilliTime lastSweep{};
   bool storeLost = false; ///< the last request to the platform failed
--- a/buckthornwing/src/View/Route.h
+++ b/buckthornwing/src/View/Route.h
@@ -5,6 +5,7 @@
 #include "../Core/IpAddress.h"
 #include "../Core/MilliTime.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -75,6 +76,16 @@
   std::uint32_t skipped = 0; ///< invalid entries of the document
 };
 
+/// \returns whether any service limits new flows to its cold targets.
+inline bool
+limitsColdTargets(const RouteTable& table)
+{
+  return std::any_of(
+    table.services.begin(),
+    table.services.end(),
+    [](const SelectedService& service) { return service.warmupRate > 0; });
+}
+
 }
 
 #endif
--- a/buckthornwing/src/View/TargetRegistry.cpp
+++ b/buckthornwing/src/View/TargetRegistry.cpp
@@ -91,6 +91,7 @@
   target.record = change.record;
   target.presence = TargetPresence::listed;
   target.changedAt = now;
+  target.warmAt = now + change.record.remainingWarmup;
   target.isRenewedByAnswer = false;
   target.awaitsRenewal =
     change.awaitsRenewal && change.record.state == TargetState::serving;
@@ -376,7 +377,8 @@
 
 std::vector<TargetChange>
 TargetRegistry::changesSince(const std::optional<StorePosition>& since,
-                             bool& isFull) const
+                             bool& isFull,
+                             MilliTime now) const
 {
   isFull = !since || since->era != this->position().era ||
            !since->covers(this->newestForgotten);
@@ -394,6 +396,7 @@
     if (target.presence == TargetPresence::listed) {
       change.kind = ChangeKind::listed;
       change.record = target.record;
+      change.record.remainingWarmup = target.remainingWarmup(now);
       change.awaitsRenewal = target.awaitsRenewal;
     }
     changes.push_back(std::move(change));
--- a/buckthornwing/src/View/TargetRegistry.h
+++ b/buckthornwing/src/View/TargetRegistry.h
@@ -3,6 +3,7 @@
 
 #include "TargetRecord.h"
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <span>
@@ -31,7 +32,10 @@
   TargetKey key;
   ChangeVersion version; ///< of its last change
   TargetPresence presence = TargetPresence::gone;
-  MilliTime changedAt{};    ///< last change of presence, or last listing
+  MilliTime changedAt{}; ///< last change of presence, or last listing
+  /// Time from which it is warm, by this instance's clock. Not before the true
+  /// time: an entry that took long to arrive names an earlier remaining time.
+  MilliTime warmAt{};
   bool used = false;        ///< false: the slot is free
   bool wasDraining = false; ///< it was draining when it was last listed
   /// It had left or was draining, and the store came back from an older copy in
@@ -51,6 +55,19 @@
     return this->isRenewedByAnswer || this->isUnproven;
   }
 
+  /// \returns the time until it is warm; 0 if it is.
+  MilliDuration remainingWarmup(MilliTime now) const
+  {
+    return std::max(this->warmAt - now, MilliDuration{});
+  }
+
+  /// \returns whether it has started and bears few requests yet.
+  bool isCold(MilliTime now) const
+  {
+    return this->used && this->presence != TargetPresence::gone &&
+           now < this->warmAt;
+  }
+
   /// \returns whether new flows may be assigned to it.
   bool takesNewFlows() const
   {
@@ -168,10 +185,12 @@
 
   /// \returns all changes since a position; a complete list if there is none,
   /// if it is of another era, or if the tombstone of a later removal was
-  /// deleted already. \param isFull set to whether the list is complete
+  /// deleted already. The remaining warm-up times are those of \a now.
+  /// \param isFull set to whether the list is complete
   std::vector<TargetChange> changesSince(
     const std::optional<StorePosition>& since,
-    bool& isFull) const;
+    bool& isFull,
+    MilliTime now) const;
 
   /// \returns a digest of the listed targets and their versions up to a
   /// position.
--- a/fuzz/entries.cpp
+++ b/fuzz/entries.cpp
@@ -130,7 +130,8 @@
   mustServe(engine);
   ViewUpdate update;
   update.view.targetsEra = 1;
-  update.targets = engine.board().registry.changesSince({}, update.isFull);
+  update.targets =
+    engine.board().registry.changesSince({}, update.isFull, kNow);
   const std::string encoded = encodeViewUpdate(update);
   const auto decoded = decodeViewUpdate(
     { reinterpret_cast<const std::uint8_t*>(encoded.data()), encoded.size() });
--- a/test/platform/items.cpp
+++ b/test/platform/items.cpp
@@ -179,6 +179,27 @@
   cr_assert_eq(change.record.incarnation, 0);
 }
 
+/// Services whose cold targets bear few requests; without a rate that makes
+/// sense nothing is limited.
+Test(items, the_rate_of_cold_targets_is_decoded)
+{
+  const auto rateOf = [](const std::string& field) {
+    const auto table = parseRoutes(item(
+      "op/config",
+      R"({"version":1,"routes":[],"services":[{"name":"a")" + field + "}]}"));
+    cr_assert(table.has_value() && table->services.size() == 1);
+    return table->services[0].warmupRate;
+  };
+  cr_assert_eq(rateOf(R"(,"warmup_per_s":2.5,"warmup_s":12)"), 2.5);
+  cr_assert_eq(rateOf(R"(,"warmup_per_s":3)"), 3.0);
+  cr_assert_eq(rateOf(""), 0.0);
+  for (const char* text :
+       { "0.0", "-1", "1e999", "1e7", "\"3\"", "null", "[3]", "true" }) {
+    cr_assert_eq(
+      rateOf(R"(,"warmup_per_s":)" + std::string(text)), 0.0, "%s", text);
+  }
+}
+
 Test(items, an_invalid_registration_is_unreadable)
 {
   const auto with = [](std::string_view from, std::string_view to) {
--- a/test/tag/report.cpp
+++ b/test/tag/report.cpp
@@ -30,6 +30,25 @@
                 std::string::npos);
 }
 
+Test(report, cold_targets_are_shown)
+{
+  EngineFixture world;
+  TargetChange cold = listed(1, 101);
+  cold.record.remainingWarmup = 700_ms;
+  changeTargets(world.engine, 101, std::span(&cold, 1), world.now);
+  const auto metrics = [&](MilliTime at) {
+    return formatTagMetrics(world.engine.board(), {}, at);
+  };
+  cr_assert(metrics(world.now).find("cold_targets 1\n") != std::string::npos);
+  const std::string status =
+    formatTagStatus(world.engine.board(), {}, world.now + 100_ms);
+  const auto first = status.find("\"warm_in_ms\":600");
+  cr_assert_neq(first, std::string::npos);
+  cr_assert_eq(status.find("warm_in_ms", first + 5), std::string::npos);
+  cr_assert(metrics(world.now + 700_ms).find("cold_targets 0\n") !=
+            std::string::npos);
+}
+
 Test(report, service_times_are_a_cumulative_histogram)
 {
   EngineFixture world;
--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -263,7 +263,7 @@
   fixture.listEra2({ inEra2(listed(1, 4)) }, kStart);
   ViewUpdate update;
   update.view.targetsEra = 2;
-  update.targets = fixture.registry.changesSince({}, update.isFull);
+  update.targets = fixture.registry.changesSince({}, update.isFull, kStart);
   const std::string bytes = encodeViewUpdate(update);
   const auto decoded = decodeViewUpdate(
     { reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size() });
--- a/test/tag/view.cpp
+++ b/test/tag/view.cpp
@@ -132,17 +132,41 @@
                                            gone(1, 3) };
   applyUpTo(registry, 3, changes, MilliTime{ 0 });
   bool isFull = true;
-  const auto some = registry.changesSince(positionAt(2), isFull);
+  const auto some =
+    registry.changesSince(positionAt(2), isFull, MilliTime{ 0 });
   cr_assert_not(isFull);
   cr_assert_eq(some.size(), 1);
   cr_assert(some[0].kind == ChangeKind::gone);
   registry.tick(MilliTime{ 200000 }, MilliTime{ 200000 });
-  const auto all = registry.changesSince(positionAt(2), isFull);
+  const auto all =
+    registry.changesSince(positionAt(2), isFull, MilliTime{ 200000 });
   cr_assert(isFull, "the end of t-1 is forgotten");
   cr_assert_eq(all.size(), 1);
   cr_assert_eq(all[0].id, "t-2");
 }
 
+/// Cold targets whose entries reach instances at different times: none of them
+/// takes a target for warm too early.
+Test(registry, the_time_of_warmth_is_kept_and_passed_on)
+{
+  TargetRegistry registry;
+  TargetChange change = listed(1, 1);
+  change.record.remainingWarmup = MilliDuration{ 8000 };
+  applyUpTo(registry, 1, std::span(&change, 1), MilliTime{ 1000 });
+  const TargetSlot slot = registry.find("t-1");
+  cr_assert(registry.at(slot).isCold(MilliTime{ 8999 }));
+  cr_assert_not(registry.at(slot).isCold(MilliTime{ 9000 }));
+  bool isFull = false;
+  const auto passed = registry.changesSince({}, isFull, MilliTime{ 3000 });
+  cr_assert_eq(passed[0].record.remainingWarmup.ms, 6000);
+  const auto late = registry.changesSince({}, isFull, MilliTime{ 20000 });
+  cr_assert_eq(late[0].record.remainingWarmup.ms, 0);
+  change.version.revision = 2;
+  change.record.remainingWarmup = MilliDuration{ 12000 };
+  applyUpTo(registry, 2, std::span(&change, 1), MilliTime{ 4000 });
+  cr_assert(registry.at(slot).isCold(MilliTime{ 15999 }));
+}
+
 Test(registry, a_slot_is_reused_only_after_its_tombstone_expired)
 {
   TargetRegistry registry;
