Evacuations of zones are read, spread and obeyed

Callers' new flows went on to the targets of a zone that the operator had evacuated: only op/config was read.

The listing and the watch of the operator's keys now have the prefix op/, so there is no further call. Evacuations keeps the list with its position; each heartbeat and update carries it, and a change is pushed at once. What the operator wrote is read on from the position that both the routes and the evacuations cover, so a peer of the version before, which sends no list, cannot raise it. An instance is ready only with a list. Service pools keep targets of evacuated zones apart; if only these are left, an opening is reset with the reason evacuated. Copies of openings follow the first one. Targets of evacuated zones without flows here are not probed.

The confirmation of the evacuations has its own time: in a fleet whose reader is of the version before, a new instance of low rank reads the store although its routes are confirmed.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -37,6 +37,7 @@
       const TagSettings settings = makeSettings(i);
       auto& engine = this->engines[settings.advertisedAddress];
       engine = std::make_unique<TagEngine>(settings);
+      engine->onEvacuationListing({ kLoadedAt, {} }, this->now);
       engine->onRoutes(listRoutes(targets), kLoadedAt, this->now);
       engine->onTargetListing({ kLoadedAt, changes }, this->now, this->now);
       this->openFlows(*engine, static_cast<std::uint32_t>(i), targets);
--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -29,6 +29,7 @@
     : engine(makeSettings(0))
   {
     const auto changes = listTargets(targets);
+    this->engine.onEvacuationListing({ kLoadedAt, {} }, this->now);
     this->engine.onRoutes(listRoutes(targets), kLoadedAt, this->now);
     this->engine.onTargetListing({ kLoadedAt, changes }, this->now, this->now);
   }
--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -185,7 +185,8 @@
   }
   situation.rankInZone = this->members.rankInZone(now);
   situation.targetsAge = now - this->board.targetsConfirmedAt;
-  situation.routesAge = now - this->board.routesConfirmedAt;
+  situation.routesAge = now - std::min(this->board.routesConfirmedAt,
+                                       this->board.evacuationsConfirmedAt);
   if (this->exchange.newerViewAtPeersSince().ms != 0) {
     situation.behindFor = now - this->exchange.newerViewAtPeersSince();
   }
--- a/buckthornwing/src/Fleet/FleetMessenger.cpp
+++ b/buckthornwing/src/Fleet/FleetMessenger.cpp
@@ -48,6 +48,7 @@
   view.targetsConfirmation = this->board.targetsConfirmation;
   view.routesConfirmation = this->board.routesConfirmation;
   view.storeFailure = this->board.storeFailure;
+  view.evacuations = this->board.evacuations.list();
   return view;
 }
 
--- a/buckthornwing/src/Fleet/StoreReaders.h
+++ b/buckthornwing/src/Fleet/StoreReaders.h
@@ -21,7 +21,8 @@
   ReaderRole role = ReaderRole::none;
   std::size_t rankInZone = 0; ///< place among the active members of its zone
   MilliDuration targetsAge{}; ///< time since the store confirmed the targets
-  MilliDuration routesAge{};  ///< time since the store confirmed the routes
+  MilliDuration routesAge{};  ///< time since the store confirmed the routes and
+                              ///< the evacuations
   MilliDuration behindFor{};  ///< time for which peers have had newer views
 };
 
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -79,7 +79,8 @@
   if (!this->board.registry.loaded()) {
     this->requestTargets(peer->member.address, now);
   }
-  if (!this->board.routes.loaded()) {
+  // Each update carries the evacuations as well.
+  if (!this->board.routes.loaded() || !this->board.evacuations.loaded()) {
     this->requestRoutes(peer->member.address, now);
   }
 }
@@ -140,6 +141,9 @@
 ViewExchange::mergeConfirmations(const ViewVersions& peer, MilliTime now)
 {
   this->mergeEra(peer);
+  if (peer.evacuations) {
+    this->view.onPeerEvacuations(*peer.evacuations, now);
+  }
   this->mergeTargetsConfirmation(peer, now);
   this->mergeRoutesConfirmation(peer, now);
   const MilliTime failedAt{ now.ms - peer.sinceStoreFailure.ms };
@@ -153,8 +157,12 @@
 void
 ViewExchange::mergeEra(const ViewVersions& peer)
 {
+  std::optional<StoreEra> evacuationsEra;
+  if (peer.evacuations) {
+    evacuationsEra = peer.evacuations->asOf.era;
+  }
   for (const std::optional<StoreEra>& named :
-       { peer.targetsEra, peer.routesEra }) {
+       { peer.targetsEra, peer.routesEra, evacuationsEra }) {
     if (named && *named > this->board.knownEra()) {
       this->board.storeEra = named;
     }
@@ -196,10 +204,20 @@
     // Versions only increase, so this instance holds what the peer holds there.
     this->board.advanceRoutes({ era, peer.routesRevision });
   }
+  const MilliTime confirmedAt{ now.ms - peer.routesAge.ms };
+  // A peer that holds older evacuations has the confirmation of its routes from
+  // one that doesn't know evacuations.
+  const bool confirmsEvacuations =
+    peer.evacuations &&
+    peer.evacuations->asOf >= StorePosition{ era, peer.routesRevision };
+  if (confirmsEvacuations &&
+      this->evacuationsConfirmations.accept(peer.routesConfirmation)) {
+    this->board.evacuationsConfirmedAt =
+      std::max(this->board.evacuationsConfirmedAt, confirmedAt);
+  }
   if (!this->routesConfirmations.accept(peer.routesConfirmation)) {
     return;
   }
-  const MilliTime confirmedAt{ now.ms - peer.routesAge.ms };
   if (confirmedAt > this->board.routesConfirmedAt) {
     this->board.routesConfirmedAt = confirmedAt;
     this->board.routesConfirmation = peer.routesConfirmation;
@@ -283,11 +301,8 @@
   }
 }
 
-void
-ViewExchange::pushUpdate(ViewContent content,
-                         const std::string& encoded,
-                         bool isReading,
-                         MilliTime now)
+std::vector<const KnownMember*>
+ViewExchange::pushPeers(bool isReading, MilliTime now)
 {
   std::vector<const KnownMember*> peers =
     this->members.sample(true, internal::kPushPeers, this->board.random);
@@ -295,6 +310,16 @@
     const auto far = this->members.sampleOtherZones(now, this->board.random);
     peers.insert(peers.end(), far.begin(), far.end());
   }
+  return peers;
+}
+
+void
+ViewExchange::pushUpdate(ViewContent content,
+                         const std::string& encoded,
+                         bool isReading,
+                         MilliTime now)
+{
+  const auto peers = this->pushPeers(isReading, now);
   const bool isSmall = encoded.size() <= internal::kMaxPushedBytes;
   const auto transfer = isSmall ? this->served.add(encoded, now) : std::nullopt;
   for (const KnownMember* peer : peers) {
@@ -333,9 +358,28 @@
   }
 }
 
+void
+ViewExchange::pushEvacuations(bool isReading, MilliTime now)
+{
+  const auto zones = this->board.evacuations.zones();
+  if (std::equal(zones.begin(),
+                 zones.end(),
+                 this->pushedEvacuations.begin(),
+                 this->pushedEvacuations.end())) {
+    return;
+  }
+  this->pushedEvacuations.assign(zones.begin(), zones.end());
+  for (const KnownMember* peer : this->pushPeers(isReading, now)) {
+    this->messenger.sendHeartbeat(peer->member.address, now);
+  }
+}
+
 void
 ViewExchange::push(bool isReading, MilliTime now)
 {
+  if (this->board.hasView()) {
+    this->pushEvacuations(isReading, now);
+  }
   const StorePosition targets = this->board.registry.contentPosition();
   const std::uint64_t routes = this->board.routes.version();
   const bool hasNewTargets = targets != this->pushed.targets;
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -83,7 +83,8 @@
   OutgoingTransfers served;
   IncomingTransfers fetchedTargets{ ViewContent::targets };
   IncomingTransfers fetchedRoutes{ ViewContent::routes };
-  ViewPosition pushed;        ///< versions at the last push
+  ViewPosition pushed;                       ///< versions at the last push
+  std::vector<Evacuation> pushedEvacuations; ///< at the last push
   ViewPosition newestAtPeers; ///< highest versions that any peer has announced
   MilliTime newerAtPeersSince{};
   MilliTime offeredAt{};
@@ -96,6 +97,7 @@
 
   EventFilter targetsConfirmations;
   EventFilter routesConfirmations;
+  EventFilter evacuationsConfirmations;
   EventFilter storeFailures;
 
   void mergeTargetsConfirmation(const ViewVersions& peer, MilliTime now);
@@ -125,6 +127,10 @@
   /// nothing if there is none.
   std::optional<ViewPosition> pushBase(MilliTime now) const;
   void recordPush(MilliTime now);
+  /// \returns the members that changes are sent to.
+  std::vector<const KnownMember*> pushPeers(bool isReading, MilliTime now);
+  /// \brief Sends heartbeats, which carry the evacuations, if these changed.
+  void pushEvacuations(bool isReading, MilliTime now);
   /// \param encoded the update to send
   void pushUpdate(ViewContent content,
                   const std::string& encoded,
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -152,6 +152,10 @@
                 "counter",
                 "Entries of the registry that are no target",
                 board.counters.unreadableEntries);
+  writer.single("operator_entries_ignored_total",
+                "counter",
+                "Entries of the operator that are not understood",
+                board.counters.ignoredEntries);
   writer.single("registry_number_conflicts_total",
                 "counter",
                 "Entries of the registry with the number of another target",
@@ -187,6 +191,10 @@
                 "gauge",
                 "Version of the routes in force",
                 board.routes.version());
+  writer.single("evacuated_zones",
+                "gauge",
+                "Zones whose targets take no new flows",
+                board.pools.zonesEvacuated().size());
   return writer.str();
 }
 
@@ -201,6 +209,11 @@
   status["stopping"] = board.stopping;
   status["routes_version"] = board.routes.version();
   status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
+  boost::json::array evacuated;
+  for (const std::string& zone : board.pools.zonesEvacuated()) {
+    evacuated.emplace_back(zone);
+  }
+  status["evacuated_zones"] = std::move(evacuated);
   status["targets_revision"] = board.registry.position().revision;
   status["targets_era"] = board.registry.position().era;
   status["store_era"] = board.storeEra ? boost::json::value(*board.storeEra)
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -234,11 +234,18 @@
 {
   const bool isProbing =
     slot < this->board.health.size() && this->board.health[slot].probing;
-  return slot != target && !isProbing &&
+  return slot != target && !isProbing && !this->isUnused(slot) &&
          this->board.registry.at(slot).takesNewFlows() &&
          this->board.healthState(slot) == HealthState::trusted;
 }
 
+bool
+HealthController::isUnused(TargetSlot slot) const
+{
+  return this->board.isEvacuated(slot) &&
+         this->board.observer.load(slot).flows == 0;
+}
+
 TargetSlot
 HealthController::chooseControl(TargetSlot target, MilliTime now) const
 {
@@ -353,7 +360,8 @@
   const TargetHealth& health = this->board.health[slot];
   const KnownTarget& target = this->board.registry.at(slot);
   const bool isWanted =
-    health.state != HealthState::trusted || target.needsAnswer();
+    (health.state != HealthState::trusted || target.needsAnswer()) &&
+    !this->isUnused(slot);
   if (isWanted && !health.probing && now >= health.nextProbeAt && target.used &&
       target.presence != TargetPresence::gone) {
     this->requestProbe(slot, now);
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -88,6 +88,9 @@
   void markDead(TargetSlot target, MilliTime now);
   bool wasSilentControl(TargetSlot slot, MilliTime now) const;
   bool isEligibleAsControl(TargetSlot slot, TargetSlot target) const;
+  /// \returns whether a target's zone is evacuated and no flow of this instance
+  /// is open there, so that its health does not matter.
+  bool isUnused(TargetSlot slot) const;
   TargetSlot chooseControl(TargetSlot target, MilliTime now) const;
   void requestControlProbe(TargetSlot target, MilliTime now);
   void startControlProbe(TargetSlot target, MilliTime now);
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -36,7 +36,9 @@
 {
   const FlowId id = flowIdOf(packet.flow, this->board.settings.tagSecret);
   SteeringDecision decision;
-  if (!this->board.hasView()) {
+  const bool isViewMissing =
+    packet.isOpening ? !this->board.hasView() : !this->board.canForward();
+  if (isViewMissing) {
     decision = this->decideWithoutRoutes(packet, now);
   } else if (packet.isOpening) {
     decision = this->decideOpening(packet, id, now);
@@ -133,11 +135,7 @@
     return this->resetOrDrop(decision, SteeringReason::noRoute, now);
   }
   const TrackedFlow* known = this->board.observer.find(id);
-  // The first target may have accepted the flow, so copies of the opening go
-  // to the same target unless it is gone or dead.
-  if (known != nullptr &&
-      this->board.registry.at(known->target).presence != TargetPresence::gone &&
-      this->board.healthState(known->target) != HealthState::dead) {
+  if (known != nullptr && this->takesCopies(*known)) {
     decision.outcome = SteeringOutcome::forward;
     decision.reason = SteeringReason::openingCopy;
     decision.target = known->target;
@@ -147,6 +145,18 @@
   return this->place(packet, id, *decision.route, now);
 }
 
+bool
+SteeringController::takesCopies(const TrackedFlow& flow) const
+{
+  const bool isGone =
+    this->board.registry.at(flow.target).presence == TargetPresence::gone;
+  if (isGone || this->board.healthState(flow.target) == HealthState::dead) {
+    return false;
+  }
+  // After the end of a flow, an opening with its key begins another one.
+  return !flow.closed || !this->board.isEvacuated(flow.target);
+}
+
 SteeringDecision
 SteeringController::place(const CallerPacket& packet,
                           FlowId id,
@@ -167,7 +177,12 @@
       this->board.tags.mint(this->board.registry, packet.flow, decision.target);
   }
   if (decision.tag.bits == 0) {
-    return this->resetOrDrop(decision, SteeringReason::noTarget, now);
+    const bool isEvacuated =
+      !this->board.pools.evacuatedTargetsOf(service).empty();
+    return this->resetOrDrop(decision,
+                             isEvacuated ? SteeringReason::evacuated
+                                         : SteeringReason::noTarget,
+                             now);
   }
   this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -42,14 +42,17 @@
   UnknownTargets unknownTargets;
 
   SteeringDecision choose(const CallerPacket& packet, MilliTime now);
-  /// \brief Decides while no routes are loaded. Packets of open flows are
-  /// forwarded as soon as the targets are loaded: the tag alone identifies the
-  /// target, and routes may take much longer to load.
+  /// \brief Decides while a part of the view is missing. Packets of open flows
+  /// are forwarded as soon as the targets are loaded: the tag alone identifies
+  /// the target, and routes may take much longer to load.
   SteeringDecision decideWithoutRoutes(const CallerPacket& packet,
                                        MilliTime now);
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
                                  MilliTime now);
+  /// \returns whether copies of a flow's opening go to its target, which may
+  /// have accepted the flow, although the target may take no new flows now.
+  bool takesCopies(const TrackedFlow& flow) const;
   SteeringDecision place(const CallerPacket& packet,
                          FlowId id,
                          const Route& route,
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -5,6 +5,7 @@
 #include "../Observation/FlowObserver.h"
 #include "../Observation/TargetHealth.h"
 #include "../Tagging/TagIndex.h"
+#include "../View/Evacuations.h"
 #include "../View/EventStamp.h"
 #include "../View/RouteIndex.h"
 #include "../View/ServicePools.h"
@@ -29,6 +30,8 @@
   std::uint64_t probes = 0;          ///< probes requested
   /// Registry entries that could not be parsed.
   std::uint64_t unreadableEntries = 0;
+  /// Entries of the operator that are not understood.
+  std::uint64_t ignoredEntries = 0;
   /// View updates from peers that could not be decoded.
   std::uint64_t malformedUpdates = 0;
   /// Times that the store came back from an older copy of its data.
@@ -64,6 +67,7 @@
   TagScheme scheme;
   TargetRegistry registry;
   RouteIndex routes;
+  Evacuations evacuations;
   ServicePools pools;
   TagIndex tags;
   FlowObserver observer;
@@ -79,10 +83,14 @@
   MilliTime targetsCompleteAt{};
   MilliTime routesConfirmedAt{}; ///< like targetsConfirmedAt
   EventStamp routesConfirmation;
+  /// Like routesConfirmedAt. Differs from it only if peers of a version that
+  /// doesn't know evacuations confirm the routes.
+  MilliTime evacuationsConfirmedAt{};
   EventStamp storeFailure; ///< last known failure to read the store
   /// Highest era that the store or a peer has named; nothing if none has.
   std::optional<StoreEra> storeEra;
   /// Position up to which the routes have been applied; nothing without routes.
+  /// See operatorPosition() for where to read on.
   std::optional<StorePosition> routesPosition;
   /// Time between the last two ticks; long if the process did not run.
   MilliDuration lastTickGap{};
@@ -150,8 +158,34 @@
       std::max(this->routesPosition.value_or(StorePosition{}), position);
   }
 
-  /// \returns whether both targets and routes are loaded.
+  /// \returns the position up to which both the routes and the evacuations have
+  /// been applied: what the operator wrote is read on from there. Nothing if
+  /// either is missing.
+  std::optional<StorePosition> operatorPosition() const
+  {
+    const auto evacuationsPosition = this->evacuations.position();
+    if (!this->routesPosition || !evacuationsPosition) {
+      return std::nullopt;
+    }
+    return std::min(*this->routesPosition, *evacuationsPosition);
+  }
+
+  /// \returns whether a target's zone is evacuated.
+  bool isEvacuated(TargetSlot target) const
+  {
+    return this->pools.isEvacuated(this->registry.at(target).record.zone);
+  }
+
+  /// \returns whether targets, routes and evacuations are loaded, so that new
+  /// flows can be placed.
   bool hasView() const
+  {
+    return this->canForward() && this->evacuations.loaded();
+  }
+
+  /// \returns whether targets and routes are loaded, so that packets of open
+  /// flows can be forwarded.
+  bool canForward() const
   {
     return this->registry.loaded() && this->routes.loaded();
   }
@@ -163,6 +197,7 @@
   StorePosition targets;
   std::uint64_t routesVersion = 0;
   MilliTime targetsCompleteAt{};
+  bool isComplete = false; ///< see TagBlackboard::hasView()
 
   bool operator==(const ViewVersion&) const = default;
 };
@@ -174,7 +209,8 @@
 {
   return { board.registry.position(),
            board.routes.version(),
-           board.targetsCompleteAt };
+           board.targetsCompleteAt,
+           board.hasView() };
 }
 
 }
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -95,10 +95,25 @@
   this->state.advanceRoutes(asOf);
   this->state.routesConfirmedAt = now;
   this->state.routesConfirmation = this->state.stampEvent(now);
+  if (this->state.evacuations.position() >= asOf) {
+    this->state.evacuationsConfirmedAt = now;
+  }
   this->fleet.pushView(now);
   this->fleet.announceConfirmation(now);
 }
 
+void
+TagEngine::onEvacuationListing(const EvacuationListing& listing, MilliTime now)
+{
+  this->view.onEvacuationListing(listing, now);
+}
+
+bool
+TagEngine::onEvacuationChanges(const EvacuationDelta& delta, MilliTime now)
+{
+  return this->view.onEvacuationDelta(delta, now);
+}
+
 std::optional<StoreEra>
 TagEngine::onStoreEra(std::optional<StoreEra> named)
 {
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -47,8 +47,17 @@
   void onRoutes(RouteTable table, const StorePosition& asOf, MilliTime now);
   /// \brief Handles the platform's confirmation that the routes are current.
   /// \param asOf position up to which all changes of the routes were passed to
-  /// onRoutes()
+  /// onRoutes(), and those of the evacuations likewise
   void onRoutesConfirmed(const StorePosition& asOf, MilliTime now);
+  /// \brief Applies the full list of evacuations from the platform.
+  void onEvacuationListing(const EvacuationListing& listing, MilliTime now);
+  /// \brief Applies changes of evacuations from the platform.
+  /// \returns whether the changes continue from the present position; if not,
+  /// nothing was changed, and a full list is needed
+  bool onEvacuationChanges(const EvacuationDelta& delta, MilliTime now);
+  /// \brief Reports an entry of the operator that is not understood; each key
+  /// is logged and counted once.
+  void onIgnoredEntry(std::string_view key) { this->view.onIgnoredEntry(key); }
   /// \brief Handles a failed request to the platform.
   /// \param cause error message for the log
   void onStoreFailure(const std::string& cause, MilliTime now);
--- a/buckthornwing/src/Steering/TagEvent.cpp
+++ b/buckthornwing/src/Steering/TagEvent.cpp
@@ -52,6 +52,8 @@
       return "zone_evacuated";
     case TagEventKind::zoneReturned:
       return "zone_returned";
+    case TagEventKind::entryIgnored:
+      return "entry_ignored";
     case TagEventKind::overloadBegan:
       return "overload_began";
     case TagEventKind::overloadEnded:
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -34,6 +34,7 @@
   paused,              ///< the process did not run for a while
   zoneEvacuated,       ///< the zone, which is the subject, takes no new flows
   zoneReturned,        ///< the zone takes new flows again
+  entryIgnored,        ///< an entry of the operator is not understood
   overloadBegan,       ///< a service begins to refuse openings of a priority
   overloadEnded,       ///< it refuses none of them any more
   targetSpeed,    ///< a target's speed differs from its service's, or no longer
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -1,6 +1,25 @@
 #include "ViewController.h"
 
 namespace buckthornwing {
+namespace internal {
+
+/// \brief Ignored keys that are remembered, so that each is logged once. No
+/// further ones are logged.
+constexpr std::size_t kMaxIgnoredKeys = 100;
+constexpr std::size_t kMaxLoggedKeyBytes = 100;
+
+std::vector<std::string>
+namesOf(std::span<const Evacuation> evacuations)
+{
+  std::vector<std::string> names;
+  names.reserve(evacuations.size());
+  for (const Evacuation& evacuation : evacuations) {
+    names.push_back(evacuation.zone);
+  }
+  return names;
+}
+
+}
 
 bool
 ViewController::onDelta(const TargetDelta& delta, MilliTime now)
@@ -113,6 +132,93 @@
         std::to_string(applied.skipped) + " skipped" });
 }
 
+void
+ViewController::onEvacuationListing(const EvacuationListing& listing,
+                                    MilliTime now)
+{
+  this->board.evacuations.applyListing(listing, now);
+  this->onEvacuationsChanged();
+}
+
+bool
+ViewController::onEvacuationDelta(const EvacuationDelta& delta, MilliTime now)
+{
+  if (!this->board.evacuations.applyDelta(delta, now)) {
+    return false;
+  }
+  this->onEvacuationsChanged();
+  return true;
+}
+
+void
+ViewController::onPeerEvacuations(const EvacuationList& list, MilliTime now)
+{
+  this->board.evacuations.merge(list, now);
+  this->onEvacuationsChanged();
+}
+
+void
+ViewController::onEvacuationsChanged()
+{
+  const auto before = this->board.pools.zonesEvacuated();
+  std::vector<std::string> zones =
+    internal::namesOf(this->board.evacuations.zones());
+  if (std::equal(before.begin(), before.end(), zones.begin(), zones.end())) {
+    return;
+  }
+  const std::vector<std::string> previous(before.begin(), before.end());
+  this->board.pools.setEvacuatedZones(std::move(zones));
+  this->board.pools.rebuild(this->board.routes, this->board.registry);
+  for (const std::string& zone : this->board.pools.zonesEvacuated()) {
+    if (!std::binary_search(previous.begin(), previous.end(), zone)) {
+      this->reportZone(TagEventKind::zoneEvacuated, zone);
+    }
+  }
+  for (const std::string& zone : previous) {
+    if (!this->board.pools.isEvacuated(zone)) {
+      this->reportZone(TagEventKind::zoneReturned, zone);
+    }
+  }
+}
+
+void
+ViewController::reportZone(TagEventKind kind, const std::string& zone)
+{
+  // An evacuation has the revision of its entry; its end has no entry.
+  std::uint64_t revision =
+    this->board.evacuations.position().value_or(StorePosition{}).revision;
+  for (const Evacuation& evacuation : this->board.evacuations.zones()) {
+    if (evacuation.zone == zone) {
+      revision = evacuation.version.revision;
+    }
+  }
+  std::size_t targets = 0;
+  for (const KnownTarget& target : this->board.registry.targets()) {
+    targets += target.takesNewFlows() && target.record.zone == zone ? 1 : 0;
+  }
+  this->board.events.push_back(
+    { kind, zone, revision, 0, std::to_string(targets) + " targets" });
+}
+
+void
+ViewController::onIgnoredEntry(std::string_view key)
+{
+  if (this->ignoredKeys.size() >= internal::kMaxIgnoredKeys) {
+    return;
+  }
+  const auto [at, isNew] = this->ignoredKeys.emplace(key);
+  if (!isNew) {
+    return;
+  }
+  ++this->board.counters.ignoredEntries;
+  this->board.events.push_back(
+    { TagEventKind::entryIgnored,
+      std::string(key.substr(0, internal::kMaxLoggedKeyBytes)),
+      0,
+      0,
+      "names no zone" });
+}
+
 void
 ViewController::onAnswer(TargetSlot slot, MilliTime now)
 {
@@ -127,6 +233,8 @@
   const auto slots =
     this->board.registry.tick(this->board.targetsCompleteAt, now);
   this->onChanged(slots, now);
+  this->board.evacuations.removeExpired(now);
+  this->onEvacuationsChanged();
 }
 
 void
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -3,7 +3,10 @@
 
 #include "TagBlackboard.h"
 
+#include <set>
 #include <span>
+#include <string>
+#include <string_view>
 
 namespace buckthornwing {
 
@@ -29,14 +32,26 @@
   /// \brief Applies changes of the routes.
   /// \returns whether the changes were accepted
   bool onRouteChanges(const RouteChanges& changes, MilliTime now);
+  /// \brief Applies the full list of evacuations.
+  void onEvacuationListing(const EvacuationListing& listing, MilliTime now);
+  /// \brief Applies changes of evacuations.
+  /// \returns whether they continue from the present position; if not, nothing
+  /// was changed
+  bool onEvacuationDelta(const EvacuationDelta& delta, MilliTime now);
+  /// \brief Takes over the evacuations that a peer knows, if they are of a
+  /// later position.
+  void onPeerEvacuations(const EvacuationList& list, MilliTime now);
+  /// \brief Reports an entry of the operator that is not understood.
+  void onIgnoredEntry(std::string_view key);
   /// \brief Handles a target's answer to a probe.
   void onAnswer(TargetSlot slot, MilliTime now);
-  /// \brief Removes targets whose entries vanished too long ago; called once
-  /// per kTagTickPeriod.
+  /// \brief Removes targets whose entries vanished too long ago, and
+  /// evacuations that the store has lost; called once per kTagTickPeriod.
   void tick(MilliTime now);
 
 private:
   TagBlackboard& board;
+  std::set<std::string, std::less<>> ignoredKeys; ///< already reported
 
   /// \brief Logs the first list of a new era of the store.
   void reportEra(const StorePosition& before, MilliTime now);
@@ -44,6 +59,10 @@
   void onNewRoutes(MilliTime now);
   void onChanged(std::span<const TargetSlot> slots, MilliTime now);
   void report(TargetSlot slot);
+  /// \brief Brings the service pools in line with the evacuations and logs what
+  /// changed in them.
+  void onEvacuationsChanged();
+  void reportZone(TagEventKind kind, const std::string& zone);
 };
 
 }
--- a/fuzz/entries.cpp
+++ b/fuzz/entries.cpp
@@ -68,8 +68,9 @@
   const StoreInput input{ engine, [] { return kNow; }, [] {} };
   StoreCursor cursor(prefix,
                      MilliDuration{ 1000 },
-                     prefix == kRoutesKey ? routeCursorHooks(input, [] {})
-                                          : targetCursorHooks(input, [] {}));
+                     prefix == kOperatorKeyPrefix
+                       ? operatorCursorHooks(input, [] {})
+                       : targetCursorHooks(input, [] {}));
   cursor.next(kNow);
   cursor.onReply({ 200,
                    boost::json::serialize(boost::json::object{
@@ -123,7 +124,7 @@
   const auto second = makeItem(prefix + "i-00000002", kTarget, 2);
   TagEngine engine = makeEngine("first");
   read(engine,
-       std::string(kRoutesKey),
+       std::string(kOperatorKeyPrefix),
        { makeItem(kRoutesKey, kRoutes, 1) },
        "items");
   read(engine, prefix, { good, second, odd }, "items");
--- a/test/platform/StoreFleet.h
+++ b/test/platform/StoreFleet.h
@@ -36,9 +36,9 @@
       platform::targetCursorHooks(
         input, [this, &other = routes] { this->restart(other); }));
     routes.cursor = std::make_unique<platform::StoreCursor>(
-      std::string(platform::kRoutesKey),
+      std::string(platform::kOperatorKeyPrefix),
       MilliDuration{ 2000 },
-      platform::routeCursorHooks(
+      platform::operatorCursorHooks(
         input, [this, &other = targets] { this->restart(other); }));
   }
 
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -175,20 +175,27 @@
 }
 
 /// \brief Passes a configuration to an engine. Its version is also the revision
-/// at which it was written.
+/// at which it was written; no zone is evacuated then.
 inline void
 publishRoutes(TagEngine& engine, RouteTable table, MilliTime now)
 {
   const StorePosition asOf = positionAt(table.version);
+  engine.onEvacuationListing({ asOf, {} }, now);
   engine.onRoutes(std::move(table), asOf, now);
 }
 
-/// \brief Lets the store confirm the present targets and routes of an engine.
+/// \brief Lets the store confirm the present targets, routes and evacuations of
+/// an engine.
 inline void
 confirmView(TagEngine& engine, MilliTime now)
 {
   const StorePosition position = engine.board().registry.position();
   engine.onTargetChanges({ position, position, {} }, now, now);
+  std::vector<EvacuationChange> held;
+  for (const Evacuation& evacuation : engine.board().evacuations.zones()) {
+    held.push_back({ evacuation.zone, evacuation.version });
+  }
+  engine.onEvacuationListing({ position, held }, now);
   engine.onRoutesConfirmed(position, now);
 }
 
