--- a/bwctl/StatusCommand.cpp
+++ b/bwctl/StatusCommand.cpp
@@ -101,6 +101,7 @@
                 "stopping",
                 "routes_version",
                 "routes_age_ms",
+                "evacuated_zones",
                 "targets_revision",
                 "targets_age_ms",
                 "tracked_flows",
--- a/emulator/Checks.cpp
+++ b/emulator/Checks.cpp
@@ -55,6 +55,7 @@
   const MilliTime sentAt = flow->openingTimes[packet.openingCopyIndex];
   this->checkService(*flow, sentAt, target, *instance);
   this->checkNoVersionRegression(*flow, sentAt, target, *instance);
+  this->checkNotEvacuated(*flow, target, *instance);
   if (!target.drainingSince) {
     return;
   }
@@ -70,6 +71,28 @@
   }
 }
 
+void
+Checks::checkNotEvacuated(const CallerFlow& flow,
+                          const Target& target,
+                          std::size_t instance)
+{
+  const auto evacuatedAt = this->parts.evacuations.since(target.zone);
+  if (!evacuatedAt) {
+    return;
+  }
+  const MilliDuration since = bootTime() - *evacuatedAt;
+  const MilliDuration limit =
+    Bounds::kMaxEvacuationDelay + Bounds::kMaxEmulatorDelay;
+  this->parts.guarantees.count("openings_to_evacuated");
+  if (since > limit && this->mustMeetBounds(instance)) {
+    this->parts.guarantees.reportViolation(
+      "no_new_flow_at_evacuated",
+      this->describe(flow, target.number, instance) + " in " + target.zone +
+        ", " + std::to_string(since.ms) +
+        " ms after the store accepted the evacuation");
+  }
+}
+
 void
 Checks::checkService(const CallerFlow& flow,
                      MilliTime sentAt,
@@ -145,9 +168,13 @@
   const auto recent =
     this->parts.routes.servicesSince(flow.route, this->routesSince(sentAt));
   const bool hadRoute = !recent.contains("");
+  const auto isUsable = [this](const Target& target) {
+    return !this->parts.evacuations.wasEvacuatedWithin(
+      target.zone, Bounds::kMaxEvacuationDelay);
+  };
   bool canServe = true;
   for (const std::string& service : recent) {
-    canServe = canServe && this->parts.targets.canServe(service);
+    canServe = canServe && this->parts.targets.canServe(service, isUsable);
   }
   this->parts.guarantees.count("refusals");
   if (hadRoute && canServe && this->mustMeetBounds(instance)) {
--- a/emulator/Checks.h
+++ b/emulator/Checks.h
@@ -48,6 +48,11 @@
                     MilliTime sentAt,
                     const Target& target,
                     std::size_t instance);
+  /// \brief Checks that no new flow goes to a target of a zone that was
+  /// evacuated long enough ago.
+  void checkNotEvacuated(const CallerFlow& flow,
+                         const Target& target,
+                         std::size_t instance);
   /// \brief Checks that a process doesn't use an older version of a route than
   /// one that it was seen to use over Bounds::kRegressionWindow earlier.
   void checkNoVersionRegression(const CallerFlow& flow,
--- a/emulator/Emulation.cpp
+++ b/emulator/Emulation.cpp
@@ -31,6 +31,7 @@
             guaranteeRecord,
             this->settings.deployment,
             this->targetHooks())
+  , evacuations(store, guaranteeRecord)
 {
 }
 
@@ -60,6 +61,7 @@
                                             this->storeStability,
                                             this->instances,
                                             this->targets,
+                                            this->evacuations,
                                             *this->routes,
                                             *this->fabric });
   this->checks.emplace(*this->sharedParts);
--- a/emulator/Emulation.h
+++ b/emulator/Emulation.h
@@ -49,6 +49,7 @@
   standin::StoreStandin store;
   Instances instances;
   Targets targets;
+  ZoneEvacuations evacuations;
   std::optional<Routes> routes;
   std::optional<Fabric> fabric;
   std::optional<EmulationParts> sharedParts;
--- a/emulator/EmulationParts.h
+++ b/emulator/EmulationParts.h
@@ -5,6 +5,7 @@
 #include "Fabric.h"
 #include "Routes.h"
 #include "Targets.h"
+#include "ZoneEvacuations.h"
 
 namespace buckthornwing::emulator {
 
@@ -21,6 +22,7 @@
   Stability& storeStability; ///< faults of the store
   Instances& instances;
   Targets& targets;
+  ZoneEvacuations& evacuations;
   Routes& routes;
   Fabric& fabric;
 };
--- a/emulator/Guarantees.h
+++ b/emulator/Guarantees.h
@@ -20,6 +20,8 @@
   static constexpr MilliDuration kSettlingTime{ 4000 };
   /// Maximum duration of a planned stop.
   static constexpr MilliDuration kStopTimeout{ 6000 };
+  /// Maximum time until a zone's evacuation or its end is in force.
+  static constexpr MilliDuration kMaxEvacuationDelay{ 5000 };
   /// Time after the end of all faults until all instances must be ready.
   static constexpr MilliDuration kMaxRecoveryTime{ 12000 };
   /// Time after which an instance that has used a version of the routes must
--- a/emulator/Targets.cpp
+++ b/emulator/Targets.cpp
@@ -170,10 +170,11 @@
 }
 
 bool
-Targets::canServe(const std::string& service) const
+Targets::canServe(const std::string& service,
+                  const std::function<bool(const Target&)>& isUsable) const
 {
   for (const auto& target : this->targets) {
-    if (this->shapeOf(*target).name == service &&
+    if (this->shapeOf(*target).name == service && isUsable(*target) &&
         target->state == Target::State::serving &&
         target->stability.isStable() &&
         bootTime() - target->registeredAt >=
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -7,6 +7,7 @@
 
 #include <standin/StoreStandin.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -44,7 +45,9 @@
 
   /// \returns whether a service has a target that has been registered and
   /// without faults for long enough that all instances must know it.
-  bool canServe(const std::string& service) const;
+  /// \param isUsable whether a target may take new flows for other reasons
+  bool canServe(const std::string& service,
+                const std::function<bool(const Target&)>& isUsable) const;
 
   /// \brief Drains a serving target, which terminates some seconds later.
   void drain(std::size_t index);
--- a/soak/Day.cpp
+++ b/soak/Day.cpp
@@ -31,9 +31,11 @@
                                                          "store_down",
                                                          "drop_history",
                                                          "lapse",
-                                                         "odd_entry" }));
+                                                         "odd_entry",
+                                                         "evacuate" }));
   event.at.ms = static_cast<std::int64_t>(reader.number("at_ms", 0, kMaxMs));
   event.service = reader.number("service", 0, kMaxCount, 0);
+  event.zone = reader.number("zone", 0, kMaxCount, 0);
   event.count = reader.number("count", 0, kMaxCount, 1);
   event.gap = parseMs(reader, "gap_ms", 330);
   event.duration = parseMs(reader, "for_ms", 500);
@@ -90,6 +92,11 @@
     case DayEventKind::oddEntry:
       parts.targets.putOddEntry(event.count);
       break;
+    case DayEventKind::evacuate:
+      faults.evacuate(
+        parts.deployment.zones[event.zone % parts.deployment.zones.size()].name,
+        event.duration);
+      break;
   }
 }
 
@@ -146,8 +153,10 @@
   MilliDuration length{};
   for (const DayEvent& event : day) {
     const std::size_t parts = internal::partsOf(event, deployment);
+    const bool isEvacuation = event.kind == DayEventKind::evacuate;
     const MilliDuration end{ event.at.ms +
-                             static_cast<std::int64_t>(parts) * event.gap.ms };
+                             static_cast<std::int64_t>(parts) * event.gap.ms +
+                             (isEvacuation ? event.duration.ms : 0) };
     length = std::max(length, end);
   }
   return length;
--- a/soak/Day.h
+++ b/soak/Day.h
@@ -24,6 +24,7 @@
   dropHistory, ///< the store drops its history of changes
   lapse,       ///< the store loses all registrations
   oddEntry,    ///< another writer leaves an entry
+  evacuate,    ///< the operator evacuates a zone and takes it back later
 };
 
 /// \brief An event of a day. Which fields matter depends on its kind.
@@ -32,6 +33,7 @@
   DayEventKind kind = DayEventKind::release;
   MilliDuration at{};      ///< time from the start of the day
   std::size_t service = 0; ///< index in the deployment
+  std::size_t zone = 0;    ///< index in the deployment
   std::size_t count = 1;
   MilliDuration gap{};      ///< time between two parts of the event
   MilliDuration duration{}; ///< of the disruption
--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -207,6 +207,14 @@
   this->parts.routes.change(route, service);
 }
 
+void
+Faults::evacuate(const std::string& zone, MilliDuration duration)
+{
+  this->parts.evacuations.evacuate(zone);
+  this->parts.timers.after(
+    duration, [this, zone] { this->parts.evacuations.withdraw(zone); });
+}
+
 void
 Faults::killAll(MilliDuration downFor)
 {
@@ -278,6 +286,7 @@
     }
     this->parts.targets.onStoreRestored();
     this->parts.routes.writeNewest();
+    this->parts.evacuations.writeAll();
     this->parts.timers.after(internal::kRewriteTime,
                              [this] { this->endStoreFault(); });
   });
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -34,6 +34,8 @@
   void dropHistory();
   /// \brief Changes the services of routes \a count times.
   void changeRoutes(std::size_t count, MilliDuration gap);
+  /// \brief Evacuates a zone for a time.
+  void evacuate(const std::string& zone, MilliDuration duration);
 
 private:
   emulator::EmulationParts& parts;
