--- a/buckthornwing/src/Steering/TargetEligibility.cpp
+++ b/buckthornwing/src/Steering/TargetEligibility.cpp
@@ -46,7 +46,9 @@
       return *reason;
     }
   }
-  return SteeringReason::noTarget;
+  return board.pools.evacuatedTargetsOf(service).empty()
+           ? SteeringReason::noTarget
+           : SteeringReason::evacuated;
 }
 
 }
--- a/buckthornwing/src/Steering/TargetEligibility.h
+++ b/buckthornwing/src/Steering/TargetEligibility.h
@@ -16,8 +16,8 @@
               TargetSlot slot,
               MilliTime now);
 
-/// \returns why a new flow of a service gets no target: the reason against its
-/// first target, or noTarget if it has none.
+/// \returns why a new flow of a service gets no target: the reason against a
+/// target that takes new flows, otherwise evacuated or noTarget.
 SteeringReason
 reasonWithoutTarget(const TagBlackboard& board,
                     ServiceSlot service,
