--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -442,11 +442,11 @@
 FleetMembers::activeMembers(MilliTime now) const
 {
   ActiveMembers active;
-  active.own = { this->order, zoneKeyOf(this->self.zone) };
+  active.own = { this->order.hash, zoneKeyOf(this->self.zone) };
   active.isOwnActive = !this->self.stopping;
   for (const auto& [address, known] : this->members) {
     if (this->isActive(known, now)) {
-      active.peers.push_back({ known.order, zoneKeyOf(known.member.zone) });
+      active.peers.push_back({ known.order.hash, zoneKeyOf(known.member.zone) });
     }
   }
   return active;
