--- a/test/tag/FleetWorld.h
+++ b/test/tag/FleetWorld.h
@@ -16,6 +16,17 @@
 
 using namespace buckthornwing::literals;
 
+/// \returns a message without a body of an instance outside of the simulation.
+inline FleetMessage
+messageOfStranger(const std::string& id, const std::string& zone)
+{
+  FleetMessage message;
+  message.sender.id = id;
+  message.sender.zone = zone;
+  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  return message;
+}
+
 /// \brief A message in transit.
 struct Delivery
 {
--- a/test/tag/evacuations.cpp
+++ b/test/tag/evacuations.cpp
@@ -97,10 +97,7 @@
 FleetMessage
 heartbeatWith(const std::optional<EvacuationList>& list)
 {
-  FleetMessage message;
-  message.sender.id = "entry-9";
-  message.sender.zone = "b";
-  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetMessage message = messageOfStranger("entry-9", "b");
   FleetHeartbeat heartbeat;
   heartbeat.view.routesVersion = 1;
   heartbeat.view.routesRevision = 500;
--- a/test/tag/fleet_members.cpp
+++ b/test/tag/fleet_members.cpp
@@ -227,10 +227,7 @@
   FleetWorld world;
   const Endpoint first = world.add("a", 1);
   world.load(first, 1);
-  FleetMessage message;
-  message.sender.id = "entry-0";
-  message.sender.zone = "a";
-  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetMessage message = messageOfStranger("entry-0", "a");
   FleetHeartbeat heartbeat;
   heartbeat.view.targetsRevision = 7;
   heartbeat.view.routesVersion = 1;
--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -357,9 +357,7 @@
   world.load(first, 1);
   listNewEra(world, first, 2);
   const MilliTime listedAt = world.now;
-  FleetMessage message;
-  message.sender.id = "entry-9";
-  message.sender.address = *parseEndpoint("127.0.0.1:9");
+  FleetMessage message = messageOfStranger("entry-9", "b");
   FleetHeartbeat heartbeat;
   heartbeat.view.targetsRevision = 6;
   heartbeat.view.targetsEra = 1;
