New flows count a target by the speed that callers' packets show

Each instance estimates the time that a request occupies a slot from the callers' packets (request to bare acknowledgement, less the handshake's round trip), reports it to its peers with the load, and compares the targets of a service. A target that differs by more than chance counts with its slots divided by its relative service time; all others exactly as before. Policy part `target_speeds`. The histogram of service times no longer counts answers whose request did not pass here, which had no start.

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -38,6 +38,7 @@
               board.settings.incarnation,
               false })
   , reports(board)
+  , speeds(board)
   , messenger(board, members, reports)
   , exchange(board, view, members, messenger)
   , startReadDelay(board.settings.policy.asksPeersFirst
@@ -106,6 +107,7 @@
       this->messenger.sendHeartbeat(peer->member.address, now);
     }
     this->reports.updatePeerLoads(this->members, now);
+    this->speeds.update(now);
   }
   if (now >= this->nextMemberReport) {
     this->nextMemberReport = now + internal::kMemberReportPeriod;
--- a/buckthornwing/src/Fleet/FleetController.h
+++ b/buckthornwing/src/Fleet/FleetController.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_FLEET_CONTROLLER_H
 #define BUCKTHORNWING_FLEET_CONTROLLER_H
 
+#include "../Steering/TargetSpeedController.h"
 #include "FleetMembers.h"
 #include "FleetMessenger.h"
 #include "LoadReports.h"
@@ -53,6 +54,7 @@
   TagBlackboard& board;
   FleetMembers members;
   LoadReports reports;
+  TargetSpeedController speeds;
   FleetMessenger messenger;
   ViewExchange exchange;
   MilliTime startedAt{};          ///< first tick of this process
--- a/buckthornwing/src/Fleet/LoadReports.h
+++ b/buckthornwing/src/Fleet/LoadReports.h
@@ -40,8 +40,12 @@
   TagBlackboard& board;
   std::size_t nextTarget = 0; ///< slot at which the next reports begin
   std::vector<ShortTargetKey> foundDead;
+  /// Service times in ms that peers reported, indexed by TargetSlot; only used
+  /// within updatePeerLoads().
+  std::vector<std::vector<double>> serviceTimes;
 
   void addReports(KnownMember& member, MilliTime now);
+  void updatePeerServiceTimes();
 };
 
 }
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -226,7 +226,8 @@
                         { "takes_new_flows", target.takesNewFlows() },
                         { "flows", load.flows },
                         { "busy", load.busy },
-                        { "service_ms", load.serviceMs },
+                        { "service_ms", serviceTimeOf(load, now).ms },
+                        { "relative_service_time", load.relativeServiceTime },
                         { "peer_flows", load.peerFlows } });
   }
   status["targets"] = std::move(targets);
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -5,8 +5,6 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Weight of the newest service time in the exponential moving mean.
-constexpr double kServiceTimeWeight = 0.1;
 /// \brief Limit of the flow table. Further flows are forwarded but not tracked.
 constexpr std::size_t kMaxTrackedFlows = 400000;
 
@@ -24,6 +22,11 @@
 /// the packets of the flow are assumed to take a path through another instance.
 constexpr MilliDuration kBusyTimeout{ 2500 };
 
+/// \brief Time from the first packet until the loads of targets are known: new
+/// flows have replaced those opened through other instances, and peers have
+/// reported.
+constexpr MilliDuration kTimeToKnowLoads{ 5000 };
+
 /// \brief Time that a closed flow is remembered, to recognize packets that
 /// arrive after its end.
 constexpr MilliDuration kClosedFlowLifetime{ 4000 };
@@ -98,20 +101,45 @@
 }
 
 void
-FlowObserver::recordProgress(TrackedFlow& flow, MilliTime now)
+FlowObserver::recordProgress(TrackedFlow& flow,
+                             const CallerPacket& packet,
+                             MilliTime now)
 {
+  const bool isRetransmitted = flow.retransmissions > 0;
   this->recordResponse(flow, now);
   this->mutableLoad(flow.target).hasAnswered = true;
   if (!flow.busy) {
     return;
   }
-  TargetLoad& load = this->mutableLoad(flow.target);
-  const double took = static_cast<double>((now - flow.busySince).ms);
-  load.serviceMs += (took - load.serviceMs) * internal::kServiceTimeWeight;
-  this->serviceTimeHistogram.add(now - flow.busySince);
+  if (flow.requested) {
+    this->serviceTimeHistogram.add(now - flow.busySince);
+    // A packet with the next request came after a pause of the caller.
+    if (!isRetransmitted && packet.payload.empty()) {
+      this->addServiceTime(flow, now);
+    }
+  }
   this->markIdle(flow);
 }
 
+void
+FlowObserver::addServiceTime(const TrackedFlow& flow, MilliTime now)
+{
+  const MilliDuration took = now - flow.busySince;
+  if (flow.foundFreeSlot && took > flow.roundTrip) {
+    this->mutableLoad(flow.target)
+      .serviceTime.add(MilliDuration{ took.ms - flow.roundTrip.ms }, now);
+  }
+}
+
+bool
+FlowObserver::hasFreeSlot(const TrackedFlow& flow, MilliTime now) const
+{
+  const TargetLoad& load = this->load(flow.target);
+  const double others = load.busy + load.peerBusy - (flow.busy ? 1 : 0);
+  return others + 1 <= load.slots &&
+         now - this->firstPacketAt >= internal::kTimeToKnowLoads;
+}
+
 void
 FlowObserver::countRetransmission(TrackedFlow& flow)
 {
@@ -136,6 +164,7 @@
     if (!flow.requested) {
       flow.requested = true;
       flow.busySince = now;
+      flow.foundFreeSlot = this->hasFreeSlot(flow, now);
     }
     this->markBusy(flow);
     return Observation::requested;
@@ -157,6 +186,9 @@
     flow.established = true;
     flow.nextSequence = packet.sequence;
     flow.acknowledged = packet.acknowledged;
+    if (flow.openingSeen && flow.retransmissions == 0) {
+      flow.roundTrip = now - flow.openedAt;
+    }
     this->recordResponse(flow, now);
     if (flow.openingSeen) {
       this->mutableLoad(flow.target).hasAnswered = true;
@@ -164,7 +196,7 @@
     result = Observation::established;
   } else if (internal::isAfter(packet.acknowledged, flow.acknowledged)) {
     flow.acknowledged = packet.acknowledged;
-    this->recordProgress(flow, now);
+    this->recordProgress(flow, packet, now);
     result = Observation::progressed;
   }
   if (packet.payload.empty()) {
@@ -218,6 +250,9 @@
                           FlowTag tag,
                           MilliTime now)
 {
+  if (this->firstPacketAt.ms == 0) {
+    this->firstPacketAt = now;
+  }
   auto found = this->flows.find(id);
   const bool isNew = found == this->flows.end();
   const bool closes = packet.isReset || packet.isFinish;
@@ -293,4 +328,27 @@
   this->mutableLoad(target) = TargetLoad{};
 }
 
+void
+FlowObserver::onTargetListed(TargetSlot target,
+                             double slots,
+                             std::uint64_t incarnation)
+{
+  if (this->load(target).incarnation != incarnation) {
+    this->forgetSpeed(target);
+  }
+  TargetLoad& load = this->mutableLoad(target);
+  load.slots = slots;
+  load.incarnation = incarnation;
+}
+
+void
+FlowObserver::forgetSpeed(TargetSlot target)
+{
+  TargetLoad& load = this->mutableLoad(target);
+  load.serviceTime = {};
+  load.peerServiceTime = {};
+  load.relativeServiceTime = 1;
+  load.speedChangedAt = {};
+}
+
 }
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -56,6 +56,16 @@
   /// incarnation starts without them.
   void forgetTarget(TargetSlot target);
 
+  /// \brief Records the registration of a target. A new incarnation starts
+  /// without the service times of the one before.
+  /// \param slots number of requests that it runs at once
+  void onTargetListed(TargetSlot target,
+                      double slots,
+                      std::uint64_t incarnation);
+
+  /// \brief Removes what is known of a target's speed.
+  void forgetSpeed(TargetSlot target);
+
   /// \returns an open flow, or null if it is unknown or closed.
   const TrackedFlow* find(FlowId id) const;
   /// \returns the load of a target; an empty one if nothing is known of it.
@@ -76,6 +86,7 @@
   TrackedFlows flows;
   std::vector<TargetLoad> loads;
   LatencyHistogram serviceTimeHistogram;
+  MilliTime firstPacketAt{};
 
   Observation observe(TrackedFlow& flow,
                       const CallerPacket& packet,
@@ -84,7 +95,11 @@
                           const CallerPacket& packet,
                           MilliTime now);
   void countRetransmission(TrackedFlow& flow);
-  void recordProgress(TrackedFlow& flow, MilliTime now);
+  void recordProgress(TrackedFlow& flow,
+                      const CallerPacket& packet,
+                      MilliTime now);
+  void addServiceTime(const TrackedFlow& flow, MilliTime now);
+  bool hasFreeSlot(const TrackedFlow& flow, MilliTime now) const;
   void recordResponse(TrackedFlow& flow, MilliTime now);
   void markBusy(TrackedFlow& flow);
   void markIdle(TrackedFlow& flow);
--- a/buckthornwing/src/Observation/TargetLoad.h
+++ b/buckthornwing/src/Observation/TargetLoad.h
@@ -2,6 +2,8 @@
 #define BUCKTHORNWING_TARGET_LOAD_H
 
 #include "../Core/MilliTime.h"
+#include "RelativeServiceTime.h"
+#include "ServiceTimeEstimator.h"
 
 #include <cstdint>
 
@@ -13,7 +15,6 @@
 {
   std::int32_t flows = 0; ///< open flows whose packets this instance forwards
   std::int32_t busy = 0;  ///< flows of these with a request in progress
-  double serviceMs = 0;   ///< moving mean of the service time
   /// Last time the target answered: a handshake, new response data or a probe.
   MilliTime progressAt{};
   /// The target was seen to answer, by this instance or by a peer. \a
@@ -26,8 +27,22 @@
   std::int32_t flowsAtReport = 0; ///< \a flows when \a peerFlows was computed
   std::int32_t busyAtReport = 0;  ///< \a busy when \a peerBusy was computed
   MilliTime peerProgressAt{};     ///< newest progress that a peer reported
+  double slots = 0;               ///< requests that the target runs at once
+  std::uint64_t incarnation = 0;  ///< of the target, as it is registered
+  ServiceTimeEstimator serviceTime;    ///< from flows of this instance
+  ServiceTimeEstimate peerServiceTime; ///< from the peers' reports
+  RelativeServiceTime relativeServiceTime = 1;
+  MilliTime speedChangedAt{}; ///< last change of the target's SpeedClass
 };
 
+/// \returns the service time of a target as estimated by this instance and its
+/// peers.
+inline ServiceTimeEstimate
+serviceTimeOf(const TargetLoad& load, MilliTime now)
+{
+  return combine(load.serviceTime.estimate(now), load.peerServiceTime);
+}
+
 }
 
 #endif
--- a/buckthornwing/src/Observation/TrackedFlow.h
+++ b/buckthornwing/src/Observation/TrackedFlow.h
@@ -25,12 +25,16 @@
   bool busy = false;        ///< a request is in progress or expected
   bool closed = false;      ///< kept to recognize packets after its end
   bool requested = false;   ///< data of the request in progress was seen
+  /// The request in progress found a free slot, as far as loads are known.
+  bool foundFreeSlot = false;
   std::uint8_t retransmissions = 0; ///< retransmissions since the last progress
   std::uint32_t nextSequence = 0;   ///< after the last byte seen of the caller
   std::uint32_t acknowledged = 0;   ///< highest acknowledgement number seen
   MilliTime openedAt{};
   MilliTime lastPacketAt{};
   MilliTime busySince{};
+  /// Time from the opening to the caller's next packet; 0 if unknown.
+  MilliDuration roundTrip{};
   MilliTime sentAt{}; ///< of the newest data, or of the first packet
 };
 
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -6,8 +6,6 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Request slots assumed for a target that publishes no number.
-constexpr double kDefaultSlots = 4;
 /// \brief Weight of a queued request relative to an open flow, which may send
 /// a request later.
 constexpr double kQueueWeight = 6.0;
@@ -38,11 +36,13 @@
   return mixWords(flow.bits, target.key.bits);
 }
 
+/// \returns the number of a target's slots, as if all of them served at the
+/// speed that is typical of its service.
 double
-slotsOf(const KnownTarget& target)
+typicalSlotsOf(const TagBlackboard& board, TargetSlot slot)
 {
-  return target.record.slots == 0 ? kDefaultSlots
-                                  : static_cast<double>(target.record.slots);
+  return slotsOf(board.registry.at(slot).record) /
+         board.observer.load(slot).relativeServiceTime;
 }
 
 /// \brief Best target found so far.
@@ -122,7 +122,7 @@
 double
 queuedRounds(const TagBlackboard& board, TargetSlot slot)
 {
-  const double slots = internal::slotsOf(board.registry.at(slot));
+  const double slots = internal::typicalSlotsOf(board, slot);
   const double queued = estimateLoad(board, slot).busy + 1 - slots;
   return std::max(0.0, queued) / slots;
 }
@@ -131,7 +131,7 @@
 placementLoad(const TagBlackboard& board, TargetSlot slot)
 {
   const EstimatedLoad load = estimateLoad(board, slot);
-  const double slots = internal::slotsOf(board.registry.at(slot));
+  const double slots = internal::typicalSlotsOf(board, slot);
   const double queued = board.settings.policy.weighsQueues
                           ? std::max(0.0, load.busy + 1 - slots)
                           : 0.0;
--- a/buckthornwing/src/Steering/PlacementPolicy.h
+++ b/buckthornwing/src/Steering/PlacementPolicy.h
@@ -68,12 +68,14 @@
 estimateLoad(const TagBlackboard& board, TargetSlot slot);
 
 /// \returns the load of a target per request slot, including one more flow;
-/// placement compares targets by it.
+/// placement compares targets by it. A target whose requests take twice as long
+/// as is typical of its service counts as one with half the slots.
 double
 placementLoad(const TagBlackboard& board, TargetSlot slot);
 
 /// \returns the average number of requests that each slot of a target must
-/// finish before a new request starts.
+/// finish before a new request starts, in requests that take the time that is
+/// typical of its service.
 double
 queuedRounds(const TagBlackboard& board, TargetSlot slot);
 
--- a/buckthornwing/src/Steering/TagPolicySettings.h
+++ b/buckthornwing/src/Steering/TagPolicySettings.h
@@ -15,6 +15,7 @@
   bool weighsQueues = true;    ///< counts queued requests in a target's load
   bool prefersOwnZone = true;  ///< places new flows in this instance's zone
   bool sharesZones = true;     ///< uses other zones while requests queue in it
+  bool weighsSpeeds = true;    ///< places fewer flows on slower targets
   bool usesPeerLoads = true;   ///< counts the load that peers report
   bool findsSilent = true;     ///< suspects targets that do not answer
   bool probes = true;          ///< probes suspected targets
@@ -40,6 +41,7 @@
 inline constexpr std::array kTagPolicyNames{
   TagPolicyName{ "load_placement", &TagPolicySettings::byLoad },
   TagPolicyName{ "queue_weight", &TagPolicySettings::weighsQueues },
+  TagPolicyName{ "target_speeds", &TagPolicySettings::weighsSpeeds },
   TagPolicyName{ "zone_preference", &TagPolicySettings::prefersOwnZone },
   TagPolicyName{ "zone_sharing", &TagPolicySettings::sharesZones },
   TagPolicyName{ "peer_loads", &TagPolicySettings::usesPeerLoads },
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -151,6 +151,12 @@
     this->board.healthFor(slot) = TargetHealth{};
     return;
   }
+  if (target.presence == TargetPresence::gone) {
+    this->board.observer.forgetSpeed(slot);
+  } else {
+    this->board.observer.onTargetListed(
+      slot, slotsOf(target.record), target.record.incarnation);
+  }
   if (target.presence == TargetPresence::listed) {
     // The target registered again: if it was found dead, probe it at once.
     this->board.healthFor(slot).nextProbeAt = MilliTime{};
--- a/buckthornwing/src/View/TargetRecord.h
+++ b/buckthornwing/src/View/TargetRecord.h
@@ -61,6 +61,15 @@
   bool operator==(const TargetRecord&) const = default;
 };
 
+/// \returns the number of requests that a target runs at once; a usual one if
+/// it publishes none.
+inline double
+slotsOf(const TargetRecord& record)
+{
+  constexpr double kDefaultSlots = 4;
+  return record.slots == 0 ? kDefaultSlots : static_cast<double>(record.slots);
+}
+
 /// \brief Kind of a change of a registry entry.
 enum class ChangeKind : std::uint8_t
 {
--- a/test/tag/LoadPattern.h
+++ b/test/tag/LoadPattern.h
@@ -36,6 +36,12 @@
   MilliDuration outageLength{ 0 };
   MilliDuration startSpread{ 0 }; ///< instances restart within this time
   MilliDuration crashAt{ 0 };     ///< one target stops silently; 0 for no crash
+  /// Factors of the targets' processing times, repeated in each zone.
+  std::vector<double> speedFactors{ 1 };
+  /// Factors after \a speedChangeAt, which is 0 for no change.
+  std::vector<double> laterSpeedFactors{ 1 };
+  MilliDuration speedChangeAt{ 0 };
+  double longRequestShare = 0; ///< requests that take 7 times longer
   /// Whether an opening, except for its last copy, is dropped while all targets
   /// of the zone are overloaded.
   bool dropsOpeningsUnderLoad = false;
@@ -54,6 +60,9 @@
   int requestsAfterOutage = 0; ///< started within 2 s after the outage
   int openedAfterOutage = 0; ///< flows placed 500 ms after the outage or later
   int openedByFirstCopy = 0; ///< of openedAfterOutage, without retransmission
+  int unevenSpeeds = 0; ///< relative service times other than 1, at all ticks
+  int speedEvents = 0;  ///< events TagEventKind::targetSpeed
+  double longestWaitMs = 0; ///< mean wait for a slot at the worst target
   double imbalance = 0; ///< requests of the busiest target divided by the mean
   /// Requests per slot in the zone with the most divided by those in the zone
   /// with the fewest, sampled for 1.5 s after the outage.
--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -58,6 +58,11 @@
     for (const ReplayTarget& target : this->targets) {
       most = std::max(most, target.served);
       total += target.served;
+      if (target.started > 0) {
+        const double wait = static_cast<double>(target.waited.ms) /
+                            static_cast<double>(target.started);
+        this->result.longestWaitMs = std::max(this->result.longestWaitMs, wait);
+      }
     }
     this->result.imbalance = static_cast<double>(most) *
                              static_cast<double>(this->targets.size()) / total;
@@ -99,7 +104,11 @@
       this->instanceZones.end(), sizes.instances, zone);
     ReplayTarget target;
     target.zone = zone;
-    this->targets.insert(this->targets.end(), sizes.targets, target);
+    for (std::size_t i = 0; i < sizes.targets; ++i) {
+      const auto& factors = this->pattern.speedFactors;
+      target.speedFactor = factors[i % factors.size()];
+      this->targets.push_back(target);
+    }
     this->zoneLoad.addZone(sizes.targets * this->pattern.slots);
   }
 
@@ -132,6 +141,14 @@
         this->targets[0].waiting.clear();
       });
     }
+    if (this->pattern.speedChangeAt.ms != 0) {
+      this->after(this->pattern.speedChangeAt, [this] {
+        const auto& factors = this->pattern.laterSpeedFactors;
+        for (std::size_t i = 0; i < this->targets.size(); ++i) {
+          this->targets[i].speedFactor = factors[i % factors.size()];
+        }
+      });
+    }
     if (this->pattern.outageAt.ms == 0) {
       return;
     }
@@ -179,6 +196,7 @@
       if (engine != nullptr) {
         confirmView(*engine, this->now);
         engine->tick(this->now);
+        this->countSpeeds(*engine);
       }
     }
     for (auto& engine : this->engines) {
@@ -188,6 +206,18 @@
     }
   }
 
+  void countSpeeds(TagEngine& engine)
+  {
+    for (TargetSlot slot = 0; slot < this->targets.size(); ++slot) {
+      const TargetLoad& load = engine.board().observer.load(slot);
+      this->result.unevenSpeeds += load.relativeServiceTime != 1 ? 1 : 0;
+    }
+    for (const TagEvent& event : engine.takeEvents()) {
+      this->result.speedEvents +=
+        event.kind == TagEventKind::targetSpeed ? 1 : 0;
+    }
+  }
+
   void afterInput(TagEngine& engine)
   {
     for (OutgoingFleetMessage& outgoing : engine.takeOutgoing()) {
@@ -407,7 +437,7 @@
       return;
     }
     caller.delivered = true;
-    const Job job{ index, attempt };
+    const Job job{ index, attempt, this->now };
     if (target.running < this->pattern.slots) {
       this->startJob(job, at);
     } else if (target.waiting.size() < this->pattern.queue) {
@@ -455,13 +485,25 @@
 
   void startJob(const Job& job, std::size_t at)
   {
-    ++this->targets[at].running;
+    ReplayTarget& target = this->targets[at];
+    ++target.running;
+    ++target.started;
+    target.waited.ms += (this->now - job.deliveredAt).ms;
     const auto mean = static_cast<std::uint64_t>(this->pattern.service.ms);
-    const auto span =
-      static_cast<std::int64_t>(mean / 2 + this->random.below(mean));
+    const auto typical =
+      static_cast<double>(mean / 2 + this->random.below(mean));
+    const auto span = static_cast<std::int64_t>(typical * target.speedFactor *
+                                                this->lengthFactor());
     this->after(MilliDuration{ span }, [=, this] { this->finishJob(job, at); });
   }
 
+  double lengthFactor()
+  {
+    constexpr double kLongRequest = 7;
+    const double share = this->pattern.longRequestShare;
+    return share > 0 && this->random.unit() < share ? kLongRequest : 1;
+  }
+
   void finishJob(const Job& job, std::size_t at)
   {
     ReplayTarget& target = this->targets[at];
--- a/test/tag/ReplayTarget.h
+++ b/test/tag/ReplayTarget.h
@@ -1,6 +1,8 @@
 #ifndef BUCKTHORNWING_TEST_REPLAY_TARGET_H
 #define BUCKTHORNWING_TEST_REPLAY_TARGET_H
 
+#include <Core>
+
 #include <algorithm>
 #include <cstddef>
 #include <cstdint>
@@ -15,6 +17,7 @@
 {
   std::size_t caller = 0;
   std::uint64_t attempt = 0; ///< of the caller
+  MilliTime deliveredAt{};
 };
 
 /// \brief Simulated target.
@@ -24,6 +27,9 @@
   std::deque<Job> waiting;
   bool isCrashed = false; ///< answers nothing
   int served = 0;         ///< requests completed
+  int started = 0;        ///< requests that got a slot
+  MilliDuration waited{}; ///< sum of their waits for it
+  double speedFactor = 1; ///< of its processing times
   std::size_t zone = 0;
 };
 
--- a/test/tag/SitePatterns.h
+++ b/test/tag/SitePatterns.h
@@ -69,6 +69,27 @@
   return pattern;
 }
 
+/// \returns a pattern of one zone in which a third of the targets are 2.4 times
+/// slower than the others, and 3 % of the requests take 7 times longer. An
+/// instance sees about one request a second for each target.
+inline LoadPattern
+unevenTargets()
+{
+  LoadPattern pattern;
+  pattern.zones = { { 14, 12 } };
+  pattern.slots = 2;
+  pattern.queue = 8;
+  pattern.service = 65_ms;
+  pattern.callers = 250;
+  pattern.newFlowShare = 0.5;
+  pattern.pause = 1400_ms;
+  pattern.objective = 300_ms;
+  pattern.speedFactors = { 0.7, 0.7, 1.7 };
+  pattern.longRequestShare = 0.03;
+  pattern.length = 40000_ms;
+  return pattern;
+}
+
 /// \returns a pattern with short processing times and long queues.
 inline LoadPattern
 fastServices()
--- a/test/tag/replay.cpp
+++ b/test/tag/replay.cpp
@@ -34,12 +34,16 @@
     sum.openedAfterOutage += result.openedAfterOutage;
     sum.openedByFirstCopy += result.openedByFirstCopy;
     sum.zoneImbalance += result.zoneImbalance / kSeeds;
+    sum.unevenSpeeds += result.unevenSpeeds;
+    sum.speedEvents += result.speedEvents;
+    sum.longestWaitMs += result.longestWaitMs / kSeeds;
     sum.imbalance += result.imbalance / kSeeds;
   }
   cr_log_info(
     "requests %d, in time %d, late %d, failed %d, refused %d, in time "
     "after outage %d of %d, flows opened by first copy %d of %d, "
-    "imbalance of targets %.3f, of zones %.2f",
+    "imbalance of targets %.3f, of zones %.2f, speeds other than 1 %d, "
+    "events of them %d, longest mean wait %.1f ms",
     sum.requests,
     sum.inTime,
     sum.late,
@@ -50,7 +54,10 @@
     sum.openedByFirstCopy,
     sum.openedAfterOutage,
     sum.imbalance,
-    sum.zoneImbalance);
+    sum.zoneImbalance,
+    sum.unevenSpeeds,
+    sum.speedEvents,
+    sum.longestWaitMs);
   return sum;
 }
 
@@ -135,3 +142,60 @@
     cr_assert_leq(100 * shared.failed, 101 * separate.failed);
   }
 }
+
+/// Answers a third of a service's targets that are 2.4 times slower than the
+/// others.
+Test(replay, slower_targets_get_fewer_requests)
+{
+  const LoadResult weighed = replay(unevenTargets(), {});
+  const LoadResult equal = replay(unevenTargets(), { .weighsSpeeds = false });
+  cr_assert_lt(weighed.late + weighed.failed, equal.late + equal.failed);
+  cr_assert_lt(weighed.longestWaitMs, equal.longestWaitMs);
+}
+
+/// Answers targets of which the slowest takes 4 times as long as the fastest.
+Test(replay, targets_of_very_uneven_speeds_wait_alike)
+{
+  LoadPattern pattern = unevenTargets();
+  pattern.speedFactors = { 0.5, 1, 1, 2 };
+  const LoadResult weighed = replay(pattern, {});
+  const LoadResult equal = replay(pattern, { .weighsSpeeds = false });
+  cr_assert_lt(weighed.late, equal.late);
+  cr_assert_lt(weighed.longestWaitMs, equal.longestWaitMs);
+}
+
+/// Answers targets that become slower while others become faster.
+Test(replay, changed_speeds_are_learnt)
+{
+  LoadPattern pattern = unevenTargets();
+  pattern.laterSpeedFactors = { 1.7, 0.7, 0.7 };
+  pattern.speedChangeAt = 25_s;
+  pattern.length = 60_s;
+  const LoadResult weighed = replay(pattern, {});
+  const LoadResult equal = replay(pattern, { .weighsSpeeds = false });
+  cr_assert_lt(weighed.late, equal.late);
+}
+
+/// Equal targets must be placed as without their speeds, whatever the load.
+Test(replay, equal_targets_are_placed_as_if_speeds_were_unknown)
+{
+  LoadPattern steady = unevenTargets();
+  steady.speedFactors = { 1 };
+  for (LoadPattern pattern : { steady,
+                               shortDeadlines(),
+                               longFlows(),
+                               halfZone(),
+                               busyTargets(),
+                               fastServices(),
+                               slowServices() }) {
+    pattern.length = std::max(pattern.length, MilliDuration{ 20000 });
+    const LoadResult weighed = replay(pattern, {});
+    const LoadResult equal = replay(pattern, { .weighsSpeeds = false });
+    cr_assert_eq(weighed.unevenSpeeds, 0);
+    cr_assert_eq(weighed.speedEvents, 0);
+    cr_assert_eq(weighed.inTime, equal.inTime);
+    cr_assert_eq(weighed.late, equal.late);
+    cr_assert_eq(weighed.failed, equal.failed);
+    cr_assert_eq(weighed.imbalance, equal.imbalance);
+  }
+}
