--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -43,6 +43,7 @@
         false,
         capacityClassOf(board.settings.linkMegabits, board.settings.cpuShare) })
   , reports(board)
+  , speeds(board)
   , messenger(board, members, reports)
   , exchange(board, view, members, messenger)
   , startReadDelay(board.settings.policy.asksPeersFirst
@@ -112,6 +113,7 @@
       this->messenger.sendHeartbeat(peer->member.address, now);
     }
     this->reports.updatePeerLoads(this->members, now);
+    this->speeds.update(now);
   }
   if (now >= this->nextMemberReport) {
     this->nextMemberReport = now + internal::kMemberReportPeriod;
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -258,7 +258,9 @@
                                 { "takes_new_flows", target.takesNewFlows() },
                                 { "flows", load.flows },
                                 { "busy", load.busy },
-                                { "service_ms", load.serviceMs },
+                                { "service_ms", serviceTimeOf(load, now).ms },
+                                { "relative_service_time",
+                                  load.relativeServiceTime },
                                 { "peer_flows", load.peerFlows } };
     if (target.isCold(now)) {
       fields["warm_in_ms"] = target.remainingWarmup(now).ms;
