Larger instances read the store and serve first views

Instances differ in link and processor (10 to 200 Mbit/s, 0.09 to 0.5 of a core), but the order in which they work for the fleet was a hash of the id: the smallest could be the reader, and served as many first views as any.

capacityClassOf() makes a class of link_mbps and cpu_share: one more for each factor of four of the bottleneck, 0 if either is unknown. The order of readers begins with the highest class; equals keep the order by hash. A starting instance requests its view from one of four of the highest classes; before, it asked whoever answered first, mostly a seed. The reader sends changes to one of the two highest of each other zone. Members of the version before count as class 0 and leave the class out of gossip, so a known class is kept for the run of a process.

Weighed: all first views from the highest class alone (one large instance in a zone would serve all); never requesting a first view from the first that answers (with equal links a start of 60 instances took longer than a second).

--- a/buckthornwing/src/Fleet/FleetController.cpp
+++ b/buckthornwing/src/Fleet/FleetController.cpp
@@ -1,5 +1,7 @@
 #include "FleetController.h"
 
+#include "CapacityClass.h"
+
 #include <algorithm>
 #include <map>
 
@@ -32,11 +34,14 @@
 
 FleetController::FleetController(TagBlackboard& board, ViewController& view)
   : board(board)
-  , members({ board.settings.id,
-              board.settings.zone,
-              board.settings.advertisedAddress,
-              board.settings.incarnation,
-              false })
+  , members(
+      { board.settings.id,
+        board.settings.zone,
+        board.settings.advertisedAddress,
+        board.settings.incarnation,
+        false,
+        false,
+        capacityClassOf(board.settings.linkMegabits, board.settings.cpuShare) })
   , reports(board)
   , messenger(board, members, reports)
   , exchange(board, view, members, messenger)
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -3,6 +3,7 @@
 #include "../Core/Hash.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace buckthornwing {
 namespace internal {
@@ -14,6 +15,20 @@
 /// \brief Time during which a changed member is preferred in gossip.
 constexpr MilliDuration kRecentChangePeriod{ 5000 };
 
+/// \brief Number of members among which a starting member chooses the one that
+/// it requests a view from. One of them gets no more than this part of the
+/// requests, and a dead one delays a view by few requests.
+constexpr std::size_t kViewSources = 4;
+/// \brief Number of members of a zone among which the receiver of a change is
+/// chosen, so that one which died unnoticed is not chosen each time.
+constexpr std::size_t kReceivers = 2;
+
+MemberOrder
+orderOf(const FleetMember& member)
+{
+  return { member.capacityClass, hashText(member.id) };
+}
+
 /// \brief Reduces a list to up to \a count randomly chosen members.
 void
 keepRandomSubset(std::vector<const KnownMember*>& members,
@@ -27,15 +42,48 @@
   members.resize(std::min(count, members.size()));
 }
 
+/// \brief Reduces a list to up to \a count members of the highest capacity
+/// classes, chosen at random among equals.
+void
+keepLargest(std::vector<const KnownMember*>& members,
+            std::size_t count,
+            Random& random)
+{
+  if (members.size() <= count) {
+    return;
+  }
+  const auto classOf = [](const KnownMember* known) {
+    return known->member.capacityClass;
+  };
+  std::ranges::stable_sort(members, std::greater<>{}, classOf);
+  const auto lowest = std::ranges::equal_range(
+    members, classOf(members[count - 1]), std::greater<>{}, classOf);
+  std::vector<const KnownMember*> equals(lowest.begin(), lowest.end());
+  members.erase(lowest.begin(), members.end());
+  keepRandomSubset(equals, count - members.size(), random);
+  members.insert(members.end(), equals.begin(), equals.end());
+}
+
+/// \returns a member as a peer describes it, with the capacity class that is
+/// known already if the peer names none: peers of the version before leave it
+/// out of what they pass on, and no process changes its class.
+FleetMember
+withKnownClass(FleetMember member, const KnownMember& known)
+{
+  if (member.capacityClass == 0 &&
+      member.incarnation == known.member.incarnation) {
+    member.capacityClass = known.member.capacityClass;
+  }
+  return member;
+}
+
 void
 setMember(KnownMember& known, const FleetMember& member, MilliTime now)
 {
   if (known.member == member) {
     return;
   }
-  if (known.member.id != member.id) {
-    known.order = hashText(member.id);
-  }
+  known.order = orderOf(member);
   known.member = member;
   known.changedAt = now;
 }
@@ -50,7 +98,7 @@
 
 FleetMembers::FleetMembers(FleetMember newSelf)
   : self(std::move(newSelf))
-  , order(hashText(this->self.id))
+  , order(internal::orderOf(this->self))
 {
 }
 
@@ -104,7 +152,7 @@
   KnownMember& known = found->second;
   if (heardAt > known.heardAt) {
     known.heardAt = heardAt;
-    internal::setMember(known, member, now);
+    internal::setMember(known, internal::withKnownClass(member, known), now);
   }
 }
 
@@ -181,14 +229,22 @@
 
 template<typename Predicate>
 std::vector<const KnownMember*>
-FleetMembers::choose(std::size_t count, Random& random, Predicate accepts) const
+FleetMembers::select(Predicate accepts) const
 {
-  std::vector<const KnownMember*> chosen;
+  std::vector<const KnownMember*> selected;
   for (const auto& [address, known] : this->members) {
     if (accepts(known)) {
-      chosen.push_back(&known);
+      selected.push_back(&known);
     }
   }
+  return selected;
+}
+
+template<typename Predicate>
+std::vector<const KnownMember*>
+FleetMembers::choose(std::size_t count, Random& random, Predicate accepts) const
+{
+  std::vector<const KnownMember*> chosen = this->select(accepts);
   internal::keepRandomSubset(chosen, count, random);
   return chosen;
 }
@@ -199,8 +255,8 @@
 {
   const KnownMember* best = nullptr;
   for (const auto& [address, known] : this->members) {
-    const bool isBefore = best == nullptr || known.order < best->order;
-    if (isBefore && this->isActive(known, now) && accepts(known)) {
+    const bool isFirst = best == nullptr || known.order.isBefore(best->order);
+    if (isFirst && this->isActive(known, now) && accepts(known)) {
       best = &known;
     }
   }
@@ -250,31 +306,58 @@
 }
 
 std::vector<const KnownMember*>
-FleetMembers::sampleByView(bool hasView,
-                           std::size_t count,
-                           MilliTime now,
-                           Random& random) const
+FleetMembers::sampleWithoutView(std::size_t count,
+                                MilliTime now,
+                                Random& random) const
 {
   return this->choose(count, random, [&](const KnownMember& known) {
-    return known.member.hasView == hasView && this->isLive(known, now);
+    return !known.member.hasView && this->isLive(known, now);
   });
 }
 
+std::vector<const KnownMember*>
+FleetMembers::sampleWithView(std::size_t count,
+                             MilliTime now,
+                             Random& random) const
+{
+  auto sources = this->select([&](const KnownMember& known) {
+    return known.member.hasView && this->isLive(known, now);
+  });
+  internal::keepLargest(sources, count, random);
+  return sources;
+}
+
 const KnownMember*
 FleetMembers::randomMemberWithView(MilliTime now, Random& random) const
 {
   for (const bool ownZone : { true, false }) {
-    const auto chosen = this->choose(1, random, [&](const KnownMember& known) {
+    auto sources = this->select([&](const KnownMember& known) {
       return known.member.hasView && this->isLive(known, now) &&
              (known.member.zone == this->self.zone) == ownZone;
     });
-    if (!chosen.empty()) {
-      return chosen.front();
+    internal::keepLargest(sources, internal::kViewSources, random);
+    if (!sources.empty()) {
+      return sources[random.below(sources.size())];
     }
   }
   return nullptr;
 }
 
+bool
+FleetMembers::knowsLargerSource(const Endpoint& address, MilliTime now) const
+{
+  const auto found = this->members.find(address);
+  if (found == this->members.end()) {
+    return false;
+  }
+  const std::uint8_t ofSource = found->second.member.capacityClass;
+  return std::ranges::any_of(this->members, [&](const auto& entry) {
+    const KnownMember& known = entry.second;
+    return known.member.hasView && known.member.capacityClass > ofSource &&
+           this->isLive(known, now);
+  });
+}
+
 std::vector<const KnownMember*>
 FleetMembers::sampleLive(std::size_t count, MilliTime now, Random& random) const
 {
@@ -296,7 +379,7 @@
     this->members.begin(), this->members.end(), [&](const auto& entry) {
       const KnownMember& known = entry.second;
       return known.member.zone == this->self.zone &&
-             known.order < this->order && this->isActive(known, now);
+             known.order.isBefore(this->order) && this->isActive(known, now);
     }));
 }
 
@@ -305,7 +388,7 @@
 {
   const KnownMember* reader =
     this->firstActive(now, [](const KnownMember&) { return true; });
-  if (reader == nullptr || this->order < reader->order) {
+  if (reader == nullptr || this->order.isBefore(reader->order)) {
     return ReaderRole::reader;
   }
   const std::string& zone = reader->member.zone;
@@ -321,7 +404,7 @@
                       return &known != reader;
                     });
   const bool isStandBy =
-    otherCandidate == nullptr || this->order < otherCandidate->order;
+    otherCandidate == nullptr || this->order.isBefore(otherCandidate->order);
   return isStandBy ? ReaderRole::standBy : ReaderRole::none;
 }
 
@@ -348,7 +431,8 @@
   }
   std::vector<const KnownMember*> chosen;
   chosen.reserve(byZone.size());
-  for (const auto& [zone, peers] : byZone) {
+  for (auto& [zone, peers] : byZone) {
+    internal::keepLargest(peers, internal::kReceivers, random);
     chosen.push_back(peers[random.below(peers.size())]);
   }
   return chosen;
--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -18,12 +18,27 @@
   MilliTime at{};
 };
 
+/// \brief Place of a member in the order in which members do work for the
+/// whole fleet.
+struct MemberOrder
+{
+  std::uint8_t capacityClass = 0; ///< highest first
+  std::uint64_t hash = 0;         ///< of the id; decides among equals
+
+  bool isBefore(const MemberOrder& other) const
+  {
+    return this->capacityClass == other.capacityClass
+             ? this->hash < other.hash
+             : this->capacityClass > other.capacityClass;
+  }
+};
+
 /// \brief State of a peer.
 struct KnownMember
 {
   FleetMember member;
-  std::uint64_t order = 0; ///< sort key; the same at all members
-  MilliTime changedAt{};   ///< last change of \a member
+  MemberOrder order;     ///< the same at all members
+  MilliTime changedAt{}; ///< last change of \a member
   /// Incarnation of the last message received directly from it; 0: none yet.
   std::uint64_t heardIncarnation = 0;
   MilliTime heardAt{}; ///< its last message, to this instance or to any peer
@@ -51,8 +66,9 @@
 /// their liveness is propagated by gossip.
 ///
 /// A member is live if it or any peer has reported its liveness recently. It is
-/// active if it is live and not stopping. All members compute the same order,
-/// by a hash of the id.
+/// active if it is live and not stopping. All members compute the same order:
+/// by capacity class, and among equals by a hash of the id. Members of versions
+/// without capacity classes come last.
 class FleetMembers
 {
 public:
@@ -112,17 +128,26 @@
                                              MilliTime now,
                                              Random& random) const;
 
-  /// \returns up to \a count random live members that have a view, or that have
-  /// none, as \a hasView says.
-  std::vector<const KnownMember*> sampleByView(bool hasView,
-                                               std::size_t count,
-                                               MilliTime now,
-                                               Random& random) const;
+  /// \returns up to \a count random live members that have no view.
+  std::vector<const KnownMember*> sampleWithoutView(std::size_t count,
+                                                    MilliTime now,
+                                                    Random& random) const;
 
-  /// \returns a random live member that has a view, preferably of this
-  /// instance's zone; null if there is none.
+  /// \returns up to \a count live members that have a view, of the highest
+  /// capacity classes, chosen at random among equals.
+  std::vector<const KnownMember*> sampleWithView(std::size_t count,
+                                                 MilliTime now,
+                                                 Random& random) const;
+
+  /// \returns a live member that has a view, preferably of this instance's
+  /// zone; null if there is none. It is chosen at random from several of
+  /// the highest capacity classes, so that starting members don't all ask one.
   const KnownMember* randomMemberWithView(MilliTime now, Random& random) const;
 
+  /// \returns whether a live member that has a view is of a higher capacity
+  /// class than the member with an address.
+  bool knowsLargerSource(const Endpoint& address, MilliTime now) const;
+
   /// \returns the number of active members of this instance's zone that come
   /// before it in the order; 0 if it is the first.
   std::size_t rankInZone(MilliTime now) const;
@@ -136,7 +161,8 @@
   /// without peers.
   const KnownMember* standBy(MilliTime now) const;
 
-  /// \returns one random live member of each other zone.
+  /// \returns one live member of each other zone, chosen at random from two of
+  /// the highest capacity classes.
   std::vector<const KnownMember*> sampleOtherZones(MilliTime now,
                                                    Random& random) const;
 
@@ -154,7 +180,7 @@
 
 private:
   FleetMember self;
-  std::uint64_t order;
+  MemberOrder order;
   std::map<Endpoint, KnownMember> members;
   boost::unordered_flat_map<std::uint32_t, Endpoint> byKey;
 
@@ -162,6 +188,9 @@
   KnownMember& entryOf(const Endpoint& address);
   /// \returns whether a member is live and not stopping.
   bool isActive(const KnownMember& known, MilliTime now) const;
+  /// \returns all members that fulfil a predicate.
+  template<typename Predicate>
+  std::vector<const KnownMember*> select(Predicate accepts) const;
   /// \returns up to \a count random members that fulfil a predicate.
   template<typename Predicate>
   std::vector<const KnownMember*> choose(std::size_t count,
--- a/buckthornwing/src/Fleet/FleetMessenger.cpp
+++ b/buckthornwing/src/Fleet/FleetMessenger.cpp
@@ -75,8 +75,8 @@
 void
 FleetMessenger::sendOffer(const Endpoint& to, MilliTime now)
 {
-  auto gossiped = this->members.sampleByView(
-    true, internal::kMembersPerHeartbeat, now, this->board.random);
+  auto gossiped = this->members.sampleWithView(
+    internal::kMembersPerHeartbeat, now, this->board.random);
   if (gossiped.empty()) {
     gossiped = this->members.sampleLive(
       internal::kMembersPerHeartbeat, now, this->board.random);
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -65,7 +65,7 @@
 void
 ViewExchange::requestFirstView(MilliTime now)
 {
-  if (this->board.hasView() || !this->board.settings.policy.takesPeerViews) {
+  if (!this->choosesSource()) {
     return;
   }
   const KnownMember* peer =
@@ -96,8 +96,8 @@
       this->messenger.sendOffer(seed, now);
     }
   }
-  for (const KnownMember* peer : this->members.sampleByView(
-         false, internal::kOfferPeers, now, this->board.random)) {
+  for (const KnownMember* peer : this->members.sampleWithoutView(
+         internal::kOfferPeers, now, this->board.random)) {
     this->messenger.sendOffer(peer->member.address, now);
   }
 }
@@ -226,6 +226,9 @@
       routes >= this->newestAtPeers.routes) {
     this->newerAtPeersSince = MilliTime{};
   }
+  if (this->choosesSource() && this->members.knowsLargerSource(from, now)) {
+    return;
+  }
   if (peerTargets > targets) {
     this->requestTargets(from, now);
   }
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -43,7 +43,9 @@
   void mergeConfirmations(const ViewVersions& peer, MilliTime now);
 
   /// \brief Requests from a peer what is newer than this instance's view, if
-  /// anything is.
+  /// anything is. A first view that larger members have is left to
+  /// requestFirstView(): otherwise starting instances would all request it from
+  /// the seeds, which answer them first.
   void requestIfNewer(const ViewVersions& peer,
                       const Endpoint& from,
                       MilliTime now);
@@ -100,6 +102,12 @@
 
   void mergeTargetsConfirmation(const ViewVersions& peer, MilliTime now);
   void mergeRoutesConfirmation(const ViewVersions& peer, MilliTime now);
+  /// \returns whether this instance chooses the member that it requests its
+  /// first view from.
+  bool choosesSource() const
+  {
+    return !this->board.hasView() && this->board.settings.policy.takesPeerViews;
+  }
   MilliDuration requestPeriod() const;
   void requestTargets(const Endpoint& from, MilliTime now);
   void requestRoutes(const Endpoint& from, MilliTime now);
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -1,5 +1,6 @@
 #include "TagReport.h"
 
+#include "../Fleet/CapacityClass.h"
 #include "../Peer/PeerSeal.h"
 #include "MetricsWriter.h"
 
@@ -198,6 +199,8 @@
   boost::json::object status;
   status["id"] = board.settings.id;
   status["zone"] = board.settings.zone;
+  status["capacity_class"] =
+    capacityClassOf(board.settings.linkMegabits, board.settings.cpuShare);
   status["stopping"] = board.stopping;
   status["routes_version"] = board.routes.version();
   status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
--- a/test/tag/FleetWorld.h
+++ b/test/tag/FleetWorld.h
@@ -37,6 +37,11 @@
   double loss = 0;         ///< probability that a message is lost
   MilliDuration delay{};   ///< of each message
   double linkMegabits = 0; ///< of instances that are added
+  double cpuShare = 0;     ///< of instances that are added
+  /// Instances of a version without capacity classes; by address.
+  std::map<Endpoint, bool> knowsNoClasses;
+  /// Encoded messages with parts of views that were sent; by sender.
+  std::map<Endpoint, std::size_t> viewBytes;
 
   static Endpoint addressOf(std::uint16_t port)
   {
@@ -54,6 +59,7 @@
     settings.tagSecret = 7;
     settings.seed = port;
     settings.linkMegabits = this->linkMegabits;
+    settings.cpuShare = this->cpuShare;
     settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
     settings.seeds = { *parseEndpoint("127.0.0.1:1"),
                        *parseEndpoint("127.0.0.1:9999") };
@@ -82,11 +88,30 @@
     publishRoutes(this->at(address), twoRoutes(version), this->now);
   }
 
+  /// \brief Removes what a version without capacity classes does not read.
+  static void removeClasses(FleetMessage& message)
+  {
+    message.sender.capacityClass = 0;
+    if (auto* heartbeat = std::get_if<FleetHeartbeat>(&message.body)) {
+      for (GossipedMember& gossip : heartbeat->members) {
+        gossip.member.capacityClass = 0;
+      }
+    }
+  }
+
+  void countViewBytes(const Endpoint& from, const FleetMessage& message)
+  {
+    if (std::holds_alternative<ViewPart>(message.body)) {
+      this->viewBytes[from] += encodeFleetMessage(message).size();
+    }
+  }
+
   void deliver()
   {
     std::vector<std::pair<Endpoint, FleetMessage>> messages;
     for (auto& [from, engine] : this->engines) {
       for (OutgoingFleetMessage& outgoing : engine->takeOutgoing()) {
+        this->countViewBytes(from, outgoing.message);
         const bool passes = !this->disconnected[from] && !this->muted[from] &&
                             !this->disconnected[outgoing.to] &&
                             this->random.unit() >= this->loss;
@@ -110,6 +135,9 @@
       cr_assert(decodeFleetMessage(
         { reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size() },
         decoded));
+      if (this->knowsNoClasses[to]) {
+        removeClasses(decoded);
+      }
       this->at(to).onFleetMessage(decoded, this->now);
     }
   }
--- a/test/tag/cold_start.cpp
+++ b/test/tag/cold_start.cpp
@@ -65,7 +65,11 @@
   std::uint64_t version = 7;
   std::size_t reads = 0;
 
-  explicit ColdStart(double megabits)
+  /// \param megabits rate of most instances' links in Mbit/s
+  /// \param cpuShare known to each instance; 0 if unknown, so that none has a
+  /// capacity class
+  explicit ColdStart(double megabits, double cpuShare = 0)
+    : cpuShare(cpuShare)
   {
     for (std::size_t i = 0; i < kTargets; ++i) {
       this->targets.push_back(listed(i + 1, i + 1, "booking", zoneOf(i)));
@@ -114,8 +118,10 @@
       this->step();
     }
     const MilliDuration took = this->now - begun;
-    cr_log_info("all instances ready after %lld ms, %zu reads of the store",
+    cr_log_info("all instances ready after %lld ms, the slowest start took "
+                "%lld ms, %zu reads of the store",
                 static_cast<long long>(took.ms),
+                static_cast<long long>(this->slowestStart().ms),
                 this->reads);
     return took;
   }
@@ -137,6 +143,7 @@
 private:
   MilliTime now{ 100000 };
   Random random{ 5 };
+  double cpuShare;
   std::vector<TargetChange> targets;
   std::map<Endpoint, StartingInstance> instances;
   std::vector<Delivery> inFlight;
@@ -167,6 +174,7 @@
     settings.incarnation = static_cast<std::uint64_t>(this->now.ms);
     settings.seeds = { addressOf(10), addressOf(20), addressOf(30) };
     settings.linkMegabits = instance.megabits;
+    settings.cpuShare = this->cpuShare;
     instance.engine = std::make_unique<TagEngine>(settings);
     instance.engine->tick(this->now);
   }
@@ -275,6 +283,18 @@
   cr_assert_leq(world.reads, kInstances / 2);
 }
 
+/// The few instances of a higher class must not delay a start by what the
+/// others request of them.
+Test(cold_start, with_capacity_classes_all_are_ready_within_a_second)
+{
+  constexpr double kCpuShare = 0.5;
+  ColdStart world(20, kCpuShare);
+  world.run(10_s);
+  cr_assert(world.allReady());
+  cr_assert_leq(world.slowestStart().ms, kMaxStartTime.ms);
+  cr_assert_leq(world.reads, kInstances / 2);
+}
+
 /// Here the instances' own links limit the rate, so reading the store in
 /// parallel is the fastest way.
 Test(cold_start, with_links_of_2_mbit_a_start_takes_at_most_two_transfers)
