--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -3,7 +3,6 @@
 #include "../Core/Hash.h"
 
 #include <algorithm>
-#include <functional>
 
 namespace buckthornwing {
 namespace internal {
@@ -55,11 +54,14 @@
   const auto classOf = [](const KnownMember* known) {
     return known->member.capacityClass;
   };
-  std::ranges::stable_sort(members, std::greater<>{}, classOf);
-  const auto lowest = std::ranges::equal_range(
-    members, classOf(members[count - 1]), std::greater<>{}, classOf);
-  std::vector<const KnownMember*> equals(lowest.begin(), lowest.end());
-  members.erase(lowest.begin(), members.end());
+  const auto isLarger = [&](const KnownMember* left, const KnownMember* right) {
+    return classOf(left) > classOf(right);
+  };
+  std::stable_sort(members.begin(), members.end(), isLarger);
+  const auto [first, last] = std::equal_range(
+    members.begin(), members.end(), members[count - 1], isLarger);
+  std::vector<const KnownMember*> equals(first, last);
+  members.erase(first, members.end());
   keepRandomSubset(equals, count - members.size(), random);
   members.insert(members.end(), equals.begin(), equals.end());
 }
@@ -351,11 +353,12 @@
     return false;
   }
   const std::uint8_t ofSource = found->second.member.capacityClass;
-  return std::ranges::any_of(this->members, [&](const auto& entry) {
-    const KnownMember& known = entry.second;
-    return known.member.hasView && known.member.capacityClass > ofSource &&
-           this->isLive(known, now);
-  });
+  return std::any_of(
+    this->members.begin(), this->members.end(), [&](const auto& entry) {
+      const KnownMember& known = entry.second;
+      return known.member.hasView && known.member.capacityClass > ofSource &&
+             this->isLive(known, now);
+    });
 }
 
 std::vector<const KnownMember*>
