bwctl explain asks a running instance where a new flow would go

SteeringController previews an opening by the functions that decide it; these are const now, and the age of the view is counted when a decision is finished. The report names route, service, outcome, reason, target, the view and each candidate with its load.

Weighed: a copy of the logic in bwctl over /status (would differ from the daemon's after the next change), deciding and undoing the effects.

--- a/buckthornwing/src/Io/HttpServer.cpp
+++ b/buckthornwing/src/Io/HttpServer.cpp
@@ -162,25 +162,35 @@
   this->acceptor.close(code);
 }
 
+std::optional<std::string_view>
+queryText(std::string_view target, std::string_view name)
+{
+  std::size_t at = target.find('?');
+  while (at != std::string_view::npos) {
+    const std::size_t start = at + 1;
+    at = target.find('&', start);
+    const std::string_view parameter = target.substr(start, at - start);
+    if (parameter.starts_with(name) &&
+        parameter.substr(name.size()).starts_with('=')) {
+      return parameter.substr(name.size() + 1);
+    }
+  }
+  return std::nullopt;
+}
+
 std::uint64_t
 queryNumber(const std::string& target,
             const std::string& name,
             std::uint64_t fallback)
 {
-  const std::size_t query = target.find('?');
-  std::size_t at = query;
-  while (at != std::string::npos) {
-    const std::size_t start = at + 1;
-    if (target.compare(start, name.size() + 1, name + "=") == 0) {
-      const char* first = target.data() + start + name.size() + 1;
-      std::uint64_t value = 0;
-      const auto [stop, code] =
-        std::from_chars(first, target.data() + target.size(), value);
-      return code == std::errc{} && stop != first ? value : fallback;
-    }
-    at = target.find('&', start);
+  const auto text = queryText(target, name);
+  if (!text) {
+    return fallback;
   }
-  return fallback;
+  std::uint64_t value = 0;
+  const auto [stop, code] =
+    std::from_chars(text->data(), text->data() + text->size(), value);
+  return code == std::errc{} && stop != text->data() ? value : fallback;
 }
 
 }
--- a/buckthornwing/src/Io/HttpServer.h
+++ b/buckthornwing/src/Io/HttpServer.h
@@ -7,7 +7,9 @@
 #include <boost/leaf/result.hpp>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace buckthornwing {
 
@@ -55,6 +57,11 @@
   void accept();
 };
 
+/// \returns the value of a query parameter of a request target, as it stands
+/// there; nothing if the parameter is absent.
+std::optional<std::string_view>
+queryText(std::string_view target, std::string_view name);
+
 /// \returns the value of a numeric query parameter of a request target.
 /// \param name of the parameter
 /// \param fallback returned if the parameter is absent or isn't a number
--- /dev/null
+++ b/buckthornwing/src/Io/OpeningReport.cpp
@@ -0,0 +1,128 @@
+#include "OpeningReport.h"
+
+#include "../Steering/PlacementPolicy.h"
+#include "Error.h"
+
+#include <boost/json.hpp>
+#include <boost/leaf.hpp>
+
+namespace buckthornwing {
+namespace internal {
+
+boost::leaf::result<Endpoint>
+readEndpoint(std::string_view target, std::string_view name)
+{
+  const std::string text(queryText(target, name).value_or(""));
+  const auto endpoint = parseEndpoint(text);
+  if (!endpoint) {
+    return boost::leaf::new_error(
+      Error{ "read " + std::string(name), text, "expected address:port" });
+  }
+  return *endpoint;
+}
+
+boost::json::value
+ageInMs(MilliTime confirmedAt, MilliTime now)
+{
+  const auto age = viewAge(confirmedAt, now);
+  return age ? boost::json::value(age->ms) : boost::json::value(nullptr);
+}
+
+/// \returns what decides whether a target gets a new flow.
+boost::json::object
+describeCandidate(const TagBlackboard& board, TargetSlot slot, MilliTime now)
+{
+  const TargetRecord& record = board.registry.at(slot).record;
+  const EstimatedLoad load = estimateLoad(board, slot);
+  return { { "id", record.id },
+           { "zone", record.zone },
+           { "own_zone", record.zone == board.settings.zone },
+           { "slots", record.slots },
+           { "flows", load.flows },
+           { "busy", load.busy },
+           { "placement_load", placementLoad(board, slot) },
+           { "queued_rounds", queuedRounds(board, slot) },
+           { "avoided", board.isAvoided(slot, now) },
+           { "dead", board.healthState(slot) == HealthState::dead } };
+}
+
+/// \brief Writes the route, the service and its candidates.
+void
+describeRoute(const TagBlackboard& board,
+              const Route& route,
+              const FlowKey& flow,
+              MilliTime now,
+              boost::json::object& report)
+{
+  report["route"] = route.name;
+  report["priority"] = route.priority;
+  const FlowId id = flowIdOf(flow, board.settings.tagSecret);
+  const ServiceSlot service = chooseService(route, id);
+  if (service == kNoServiceSlot) {
+    return;
+  }
+  report["service"] = board.routes.routes().services[service].name;
+  boost::json::array candidates;
+  for (const TargetSlot slot : board.pools.targetsOf(service)) {
+    candidates.push_back(describeCandidate(board, slot, now));
+  }
+  report["candidates"] = std::move(candidates);
+}
+
+}
+
+boost::leaf::result<FlowKey>
+parseExplainQuery(std::string_view target)
+{
+  FlowKey flow;
+  BOOST_LEAF_ASSIGN(flow.destination,
+                    internal::readEndpoint(target, "destination"));
+  BOOST_LEAF_ASSIGN(flow.source, internal::readEndpoint(target, "caller"));
+  return flow;
+}
+
+std::string
+formatOpeningReport(const TagEngine& engine, const FlowKey& flow, MilliTime now)
+{
+  const TagBlackboard& board = engine.board();
+  const SteeringDecision decision = engine.previewOpening(flow, now);
+  boost::json::object report;
+  report["flow"] = formatFlowKey(flow);
+  report["instance"] = board.settings.id;
+  report["zone"] = board.settings.zone;
+  report["outcome"] = steeringOutcomeName(decision.outcome);
+  report["reason"] = steeringReasonName(decision.reason);
+  if (decision.target != kNoTargetSlot) {
+    report["target"] = board.registry.at(decision.target).record.id;
+  }
+  report["targets_revision"] = board.registry.position().revision;
+  report["targets_age_ms"] = internal::ageInMs(board.targetsConfirmedAt, now);
+  report["routes_version"] = board.routes.version();
+  report["routes_age_ms"] = internal::ageInMs(board.routesConfirmedAt, now);
+  if (decision.route != nullptr) {
+    internal::describeRoute(board, *decision.route, flow, now, report);
+  }
+  return boost::json::serialize(report);
+}
+
+HttpResponse
+explainOpening(const TagEngine& engine,
+               const std::string& target,
+               MilliTime now)
+{
+  constexpr unsigned kBadRequest = 400;
+  const auto refuse = [](const std::string& problem) {
+    return HttpResponse{ kBadRequest, "text/plain", problem + "\n", {} };
+  };
+  return boost::leaf::try_handle_all(
+    [&]() -> boost::leaf::result<HttpResponse> {
+      BOOST_LEAF_AUTO(flow, parseExplainQuery(target));
+      return HttpResponse{
+        200, "application/json", formatOpeningReport(engine, flow, now), {}
+      };
+    },
+    [&](const Error& error) { return refuse(formatError(error)); },
+    [&] { return refuse("malformed query"); });
+}
+
+}
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -6,6 +6,7 @@
 #include "HeldPackets.h"
 #include "HttpServer.h"
 #include "JsonLog.h"
+#include "OpeningReport.h"
 #include "ProbeRunner.h"
 #include "TagLog.h"
 #include "TagReport.h"
@@ -464,6 +465,9 @@
                formatTagStatus(board, this->counters, bootTime()),
                {} };
     }
+    if (target.substr(0, target.find('?')) == "/explain") {
+      return explainOpening(this->engine, target, bootTime());
+    }
     return { kNotFound, "text/plain", "not found\n", {} };
   }
 };
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -31,6 +31,18 @@
   return decision;
 }
 
+SteeringDecision
+SteeringController::preview(const FlowKey& flow, MilliTime now) const
+{
+  CallerPacket packet;
+  packet.flow = flow;
+  packet.isOpening = true;
+  return this->board.hasView()
+           ? this->decideOpening(
+               packet, flowIdOf(flow, this->board.settings.tagSecret), now)
+           : this->decideWithoutRoutes(packet, now);
+}
+
 SteeringDecision
 SteeringController::choose(const CallerPacket& packet, MilliTime now)
 {
@@ -48,7 +60,7 @@
 
 SteeringDecision
 SteeringController::decideWithoutRoutes(const CallerPacket& packet,
-                                        MilliTime now)
+                                        MilliTime now) const
 {
   SteeringDecision decision;
   decision.outcome = SteeringOutcome::hold;
@@ -83,6 +95,9 @@
     // A reset is never answered with a reset.
     decision.outcome = SteeringOutcome::drop;
   }
+  if (decision.reason == SteeringReason::placed) {
+    this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
+  }
   if (decision.outcome == SteeringOutcome::forward) {
     this->observe(packet, id, decision, now);
   } else if (decision.outcome == SteeringOutcome::reset) {
@@ -121,7 +136,7 @@
 SteeringDecision
 SteeringController::decideOpening(const CallerPacket& packet,
                                   FlowId id,
-                                  MilliTime now)
+                                  MilliTime now) const
 {
   SteeringDecision decision;
   decision.route = this->board.routes.find(packet.flow.destination);
@@ -151,7 +166,7 @@
 SteeringController::place(const CallerPacket& packet,
                           FlowId id,
                           const Route& route,
-                          MilliTime now)
+                          MilliTime now) const
 {
   SteeringDecision decision;
   decision.route = &route;
@@ -169,7 +184,6 @@
   if (decision.tag.bits == 0) {
     return this->resetOrDrop(decision, SteeringReason::noTarget, now);
   }
-  this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
   return decision;
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -26,6 +26,10 @@
   /// packet stays held.
   SteeringDecision decideHeld(const CallerPacket& packet, MilliTime now);
 
+  /// \returns the decision that the first packet of a flow would get now.
+  /// Changes and counts nothing.
+  SteeringDecision preview(const FlowKey& flow, MilliTime now) const;
+
   /// \returns whether the registry must be read in full now; see
   /// UnknownTargets::needsTargetListing().
   bool needsTargetListing(MilliTime now)
@@ -46,14 +50,15 @@
   /// forwarded as soon as the targets are loaded: the tag alone identifies the
   /// target, and routes may take much longer to load.
   SteeringDecision decideWithoutRoutes(const CallerPacket& packet,
-                                       MilliTime now);
+                                       MilliTime now) const;
+  /// \brief Decides an opening without any effect; finish() records it.
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
-                                 MilliTime now);
+                                 MilliTime now) const;
   SteeringDecision place(const CallerPacket& packet,
                          FlowId id,
                          const Route& route,
-                         MilliTime now);
+                         MilliTime now) const;
   SteeringDecision decideOpenFlow(const CallerPacket& packet,
                                   FlowId id,
                                   MilliTime now);
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -29,6 +29,13 @@
   /// packet stays held.
   SteeringDecision onHeldPacket(const CallerPacket& packet, MilliTime now);
 
+  /// \returns what would be done with the first packet of a flow now. Changes
+  /// nothing.
+  SteeringDecision previewOpening(const FlowKey& flow, MilliTime now) const
+  {
+    return this->steering.preview(flow, now);
+  }
+
   /// \brief Applies a full list of targets from the platform.
   /// \param readAt a time not later than the platform's read of the list
   void onTargetListing(const TargetListing& listing,
--- a/bwctl/Arguments.cpp
+++ b/bwctl/Arguments.cpp
@@ -32,6 +32,27 @@
     "", "service", "a service's name", false, "", "NAME", line);
   TCLAP::ValueArg<std::string> flow(
     "", "flow", "\"protocol source destination\"", false, "", "FLOW", line);
+  TCLAP::ValueArg<std::string> instance("",
+                                        "instance",
+                                        "of explain: a running instance",
+                                        false,
+                                        "",
+                                        "ADDRESS:PORT",
+                                        line);
+  TCLAP::ValueArg<std::string> destination("",
+                                           "destination",
+                                           "of explain: a route's address",
+                                           false,
+                                           "",
+                                           "ADDRESS:PORT",
+                                           line);
+  TCLAP::ValueArg<std::string> caller("",
+                                      "caller",
+                                      "of explain: a caller's address",
+                                      false,
+                                      "",
+                                      "ADDRESS:PORT",
+                                      line);
   TCLAP::ValueArg<std::string> log(
     "", "log", "log of one or more instances", false, "", "FILE", line);
   TCLAP::ValueArg<std::string> svg(
@@ -51,11 +72,12 @@
     return boost::leaf::new_error(
       Error{ "read command line", "bwctl", "see bwctl --help" });
   }
-  Arguments arguments{ command.getValue(), positional.getValue(),
-                       config.getValue(),  service.getValue(),
-                       flow.getValue(),    log.getValue(),
-                       svg.getValue(),     count.getValue(),
-                       json.getValue() };
+  Arguments arguments{ command.getValue(),     positional.getValue(),
+                       config.getValue(),      service.getValue(),
+                       flow.getValue(),        instance.getValue(),
+                       destination.getValue(), caller.getValue(),
+                       log.getValue(),         svg.getValue(),
+                       count.getValue(),       json.getValue() };
   const std::size_t expected = positionalCount(arguments.command);
   const std::size_t given = arguments.positional.size();
   const bool acceptsMore = arguments.command == "timeline" && given > expected;
--- a/bwctl/Commands.h
+++ b/bwctl/Commands.h
@@ -25,6 +25,9 @@
   std::string config;
   std::string service;
   std::string flow;
+  std::string instance;    ///< operators' address of a running instance
+  std::string destination; ///< address and port that a caller connects to
+  std::string caller;      ///< address and port of a caller
   std::string log;
   std::string svg;
   unsigned count = 0; ///< of outputs of watch; 0 means no limit
@@ -54,6 +57,11 @@
 boost::leaf::result<int>
 explain(const Arguments& arguments);
 
+/// \brief Explains by the state of a running instance instead of a
+/// configuration document.
+boost::leaf::result<int>
+explainAtInstance(const Arguments& arguments);
+
 boost::leaf::result<int>
 status(const Arguments& arguments);
 
--- a/bwctl/ConfigCommands.cpp
+++ b/bwctl/ConfigCommands.cpp
@@ -223,6 +223,9 @@
 boost::leaf::result<int>
 explain(const Arguments& arguments)
 {
+  if (!arguments.instance.empty()) {
+    return explainAtInstance(arguments);
+  }
   BOOST_LEAF_AUTO(configuration, loadConfiguration(arguments.config));
   const auto key = parseFlowKey(arguments.flow);
   if (!key) {
--- a/bwctl/main.cpp
+++ b/bwctl/main.cpp
@@ -21,6 +21,10 @@
       flows that moves: run it before publishing NEW
   bwctl explain --config FILE --flow "tcp 198.51.100.7:40001 203.0.113.10:443"
       prints where a new flow goes by the table, and each step to it
+  bwctl explain --instance ADDRESS:PORT --destination ADDRESS:PORT
+                --caller ADDRESS:PORT
+      asks a running buckthornwing-platform, by its operators' address, what it
+      would do with a new flow now and why; sends and changes nothing
   bwctl status ADDRESS:PORT
       shows a running instance, by its operators' address
   bwctl watch ADDRESS:PORT [--count N]
--- a/test/platform/Loopback.h
+++ b/test/platform/Loopback.h
@@ -137,18 +137,28 @@
     return condition();
   }
 
-  /// \returns the JSON body of a daemon's /status.
-  std::string status(Server& server)
+  /// \returns a daemon's response at its operators' address.
+  HttpResult query(Server& server, const std::string& path)
   {
-    std::string body;
+    HttpResult response;
+    bool isDone = false;
     httpGet(this->context,
             server.operatorsEndpoint(),
-            "/status",
+            path,
             MilliDuration{ 1000 },
             1000000,
-            [&](const HttpResult& result) { body = result.body; });
-    this->runUntil([&] { return !body.empty(); });
-    return body;
+            [&](HttpResult result) {
+              response = std::move(result);
+              isDone = true;
+            });
+    this->runUntil([&] { return isDone; });
+    return response;
+  }
+
+  /// \returns the JSON body of a daemon's /status.
+  std::string status(Server& server)
+  {
+    return this->query(server, "/status").body;
   }
 
   /// \returns whether a daemon's readiness check answers 200.
--- a/test/platform/server.cpp
+++ b/test/platform/server.cpp
@@ -25,6 +25,20 @@
   cr_assert_eq(tagOf(later), tag);
 }
 
+Test(server, an_opening_is_explained_at_the_operators_address)
+{
+  Loopback loopback;
+  Server& server = loopback.launch("entry-1");
+  cr_assert(loopback.waitReady(server));
+  const HttpResult explained = loopback.query(
+    server, "/explain?destination=198.18.0.1:443&caller=127.0.0.1:40001");
+  cr_assert_eq(explained.status, 200);
+  cr_assert_neq(explained.body.find("\"reason\":\"placed\""),
+                std::string::npos);
+  cr_assert_eq(loopback.query(server, "/explain?caller=1").status, 400);
+  cr_assert_eq(loopback.query(server, "/explained").status, 404);
+}
+
 Test(server, an_instance_is_not_ready_before_a_valid_response_of_the_store)
 {
   for (const StoreFault fault : { StoreFault::busy,
