--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -33,6 +33,18 @@
   return decision;
 }
 
+SteeringDecision
+SteeringController::preview(const FlowKey& flow, MilliTime now) const
+{
+  CallerPacket packet;
+  packet.flow = flow;
+  packet.isOpening = true;
+  return this->board.hasView()
+           ? this->decideOpening(
+               packet, flowIdOf(flow, this->board.settings.tagSecret), now)
+           : this->decideWithoutRoutes(packet, now);
+}
+
 SteeringDecision
 SteeringController::choose(const CallerPacket& packet, MilliTime now)
 {
@@ -52,7 +64,7 @@
 
 SteeringDecision
 SteeringController::decideWithoutRoutes(const CallerPacket& packet,
-                                        MilliTime now)
+                                        MilliTime now) const
 {
   SteeringDecision decision;
   decision.outcome = SteeringOutcome::hold;
@@ -87,6 +99,11 @@
     // A reset is never answered with a reset.
     decision.outcome = SteeringOutcome::drop;
   }
+  if (decision.reason == SteeringReason::placed) {
+    this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
+    this->board.slowStart.recordPlacement(
+      this->board.registry.at(decision.target).key, now);
+  }
   if (decision.outcome == SteeringOutcome::forward) {
     this->observe(packet, id, decision, now);
   } else if (decision.outcome == SteeringOutcome::reset) {
@@ -125,7 +142,7 @@
 SteeringDecision
 SteeringController::decideOpening(const CallerPacket& packet,
                                   FlowId id,
-                                  MilliTime now)
+                                  MilliTime now) const
 {
   SteeringDecision decision;
   decision.route = this->board.routes.find(packet.flow.destination);
@@ -163,7 +180,7 @@
 SteeringController::place(const CallerPacket& packet,
                           FlowId id,
                           const Route& route,
-                          MilliTime now)
+                          MilliTime now) const
 {
   SteeringDecision decision;
   decision.route = &route;
@@ -182,9 +199,6 @@
     return this->resetOrDrop(
       decision, reasonWithoutTarget(this->board, service, now), now);
   }
-  this->board.slowStart.recordPlacement(
-    this->board.registry.at(decision.target).key, now);
-  this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
   return decision;
