Even load: apertures of targets, sums by zone, and other zones' room

Many instances place flows by reports of about the same age, 0.2 to 2.5 s, while a request takes some 60 ms. Other zones' targets looked idle, and a full zone kept its flows, because one of its targets looked free by the age of its report.

Each instance of a zone with more than four now prefers an equal part of the zone's targets (deterministic aperture). Heartbeats to other zones carry the sums of the sender's zone for the targets of both zones. A share of openings leaves a zone that is over its slots for one that is not. Policy parts: aperture, zone_sums, zone_room.

--- a/buckthornwing/src/Fleet/FleetMembers.h
+++ b/buckthornwing/src/Fleet/FleetMembers.h
@@ -77,6 +77,13 @@
   /// itself
   bool mergeLiveness(const MemberLiveness& entry, MilliTime now);
 
+  /// \returns the member with an address; null if it is unknown.
+  const KnownMember* find(const Endpoint& address) const
+  {
+    const auto found = this->members.find(address);
+    return found == this->members.end() ? nullptr : &found->second;
+  }
+
   /// \returns the live members with the given keys; unknown keys are skipped.
   std::vector<const KnownMember*> findKeys(std::span<const std::uint32_t> keys,
                                            MilliTime now) const;
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -62,8 +62,8 @@
   bool dead = false; ///< probes found that it does not answer
   /// Mean time that a request occupies a slot, in ms; nothing if unknown.
   std::optional<double> serviceMs{};
-  /// Sum over all instances, as known to the sender; nothing unless the target
-  /// is of the sender's zone.
+  /// Sum over all instances of the sender's zone, as known to the sender;
+  /// nothing unless the receiver is of another zone.
   std::optional<std::int32_t> totalFlows{};
   std::optional<std::int32_t> totalBusy{}; ///< like \a totalFlows
 };
--- a/buckthornwing/src/Fleet/FleetMessenger.cpp
+++ b/buckthornwing/src/Fleet/FleetMessenger.cpp
@@ -60,7 +60,6 @@
   heartbeat.members = internal::toGossip(gossiped, now);
   heartbeat.liveness = this->members.sampleLiveness(
     internal::kLivenessPerHeartbeat, now, this->board.random);
-  heartbeat.reports = this->reports.nextReports(now);
   return heartbeat;
 }
 
@@ -69,7 +68,21 @@
 {
   const auto gossiped = this->members.sampleForGossip(
     internal::kMembersPerHeartbeat, now, this->board.random);
-  this->send(to, this->buildHeartbeat(gossiped, now));
+  FleetHeartbeat heartbeat = this->buildHeartbeat(gossiped, now);
+  heartbeat.reports = this->reportsFor(to, now);
+  this->send(to, std::move(heartbeat));
+}
+
+std::vector<TargetReport>
+FleetMessenger::reportsFor(const Endpoint& to, MilliTime now)
+{
+  const KnownMember* member = this->members.find(to);
+  const std::string& ownZone = this->board.settings.zone;
+  const bool isOfOtherZone =
+    member != nullptr && member->member.zone != ownZone;
+  return isOfOtherZone && this->board.settings.policy.sumsZones
+           ? this->reports.nextZoneReports(member->member.zone, now)
+           : this->reports.nextReports(now);
 }
 
 void
@@ -81,7 +94,9 @@
     gossiped = this->members.sampleLive(
       internal::kMembersPerHeartbeat, now, this->board.random);
   }
-  this->send(to, this->buildHeartbeat(gossiped, now));
+  FleetHeartbeat heartbeat = this->buildHeartbeat(gossiped, now);
+  heartbeat.reports = this->reports.nextReports(now);
+  this->send(to, std::move(heartbeat));
 }
 
 void
--- a/buckthornwing/src/Fleet/FleetMessenger.h
+++ b/buckthornwing/src/Fleet/FleetMessenger.h
@@ -65,6 +65,7 @@
 
   FleetHeartbeat buildHeartbeat(std::span<const KnownMember* const> gossiped,
                                 MilliTime now);
+  std::vector<TargetReport> reportsFor(const Endpoint& to, MilliTime now);
 };
 
 }
--- a/buckthornwing/src/Fleet/LoadReports.cpp
+++ b/buckthornwing/src/Fleet/LoadReports.cpp
@@ -18,6 +18,12 @@
 {
   report.flows = std::clamp(report.flows, 0, kMaxReportedLoad);
   report.busy = std::clamp(report.busy, 0, report.flows);
+  if (report.totalFlows && report.totalBusy) {
+    report.totalFlows =
+      std::clamp(*report.totalFlows, report.flows, kMaxReportedLoad);
+    report.totalBusy =
+      std::clamp(*report.totalBusy, report.busy, *report.totalFlows);
+  }
   if (report.sinceProgress) {
     report.sinceProgress = std::max(*report.sinceProgress, MilliDuration{});
   }
@@ -26,30 +32,99 @@
 
 }
 
-std::vector<TargetReport>
-LoadReports::nextReports(MilliTime now)
+bool
+LoadReports::hasOwnLoad(TargetSlot slot) const
+{
+  const TargetLoad& load = this->board.observer.load(slot);
+  return load.flows != 0 || load.busy != 0 ||
+         this->board.healthState(slot) == HealthState::dead;
+}
+
+TargetReport
+LoadReports::reportOf(TargetSlot slot, MilliTime now) const
+{
+  const TargetLoad& load = this->board.observer.load(slot);
+  return { this->board.registry.at(slot).key.shortened(),
+           load.flows,
+           load.busy,
+           load.silentFlows,
+           load.hasAnswered ? std::optional(now - load.progressAt)
+                            : std::nullopt,
+           this->board.healthState(slot) == HealthState::dead };
+}
+
+TargetReport
+LoadReports::summedReportOf(TargetSlot slot, MilliTime now) const
+{
+  TargetReport report = this->reportOf(slot, now);
+  const ZoneSum peers =
+    slot < this->ownZone.size() ? this->ownZone[slot] : ZoneSum{};
+  report.totalFlows = report.flows + static_cast<std::int32_t>(peers.flows);
+  report.totalBusy = report.busy + static_cast<std::int32_t>(peers.busy);
+  return report;
+}
+
+template<typename Filter, typename Report>
+void
+LoadReports::append(std::vector<TargetReport>& reports,
+                    std::size_t& next,
+                    Filter filter,
+                    Report report) const
 {
-  std::vector<TargetReport> reports;
   const std::size_t count = this->board.registry.targets().size();
+  const std::size_t begin = next;
   for (std::size_t i = 0; i < count; ++i) {
-    const auto slot = static_cast<TargetSlot>((this->nextTarget + i) % count);
-    const TargetLoad& load = this->board.observer.load(slot);
-    const bool isDead = this->board.healthState(slot) == HealthState::dead;
-    if (load.flows == 0 && load.busy == 0 && !isDead) {
+    const auto slot = static_cast<TargetSlot>((begin + i) % count);
+    if (!filter(slot)) {
       continue;
     }
     if (reports.size() == internal::kReportsPerHeartbeat) {
-      this->nextTarget = slot;
-      break;
+      next = slot;
+      return;
     }
-    reports.push_back(
-      { this->board.registry.at(slot).key.shortened(),
-        load.flows,
-        load.busy,
-        load.silentFlows,
-        load.hasAnswered ? std::optional(now - load.progressAt) : std::nullopt,
-        isDead });
+    reports.push_back(report(slot));
   }
+}
+
+std::vector<TargetReport>
+LoadReports::nextReports(MilliTime now)
+{
+  std::vector<TargetReport> reports;
+  this->append(
+    reports,
+    this->nextTarget,
+    [this](TargetSlot slot) { return this->hasOwnLoad(slot); },
+    [this, now](TargetSlot slot) { return this->reportOf(slot, now); });
+  return reports;
+}
+
+std::vector<TargetReport>
+LoadReports::nextZoneReports(std::string_view receiverZone, MilliTime now)
+{
+  const auto isOfBothZones = [&](TargetSlot slot) {
+    const std::string& zone = this->board.registry.at(slot).record.zone;
+    return zone == receiverZone || zone == this->board.settings.zone;
+  };
+  const auto hasZoneLoad = [this](TargetSlot slot) {
+    return this->hasOwnLoad(slot) ||
+           (slot < this->ownZone.size() && this->ownZone[slot].flows > 0);
+  };
+  const auto report = [&](TargetSlot slot) {
+    return this->summedReportOf(slot, now);
+  };
+  std::vector<TargetReport> reports;
+  this->append(
+    reports,
+    this->nextSummedTarget,
+    [&](TargetSlot slot) { return isOfBothZones(slot) && hasZoneLoad(slot); },
+    report);
+  this->append(
+    reports,
+    this->nextTarget,
+    [&](TargetSlot slot) {
+      return !isOfBothZones(slot) && this->hasOwnLoad(slot);
+    },
+    report);
   return reports;
 }
 
@@ -58,10 +133,14 @@
                      const FleetHeartbeat& body,
                      MilliTime now)
 {
-  for (const TargetReport& report : body.reports) {
-    member.reports[report.target] =
-      ReceivedReport{ internal::limitToPlausible(report), now };
-    if (report.dead && member.member.zone == this->board.settings.zone) {
+  const bool isPeerOfZone = member.member.zone == this->board.settings.zone;
+  for (const TargetReport& received : body.reports) {
+    const TargetReport report = internal::limitToPlausible(received);
+    member.reports[report.target] = ReceivedReport{ report, now };
+    if (!isPeerOfZone) {
+      this->sums.record(member.member.zone, report, now);
+    }
+    if (report.dead && isPeerOfZone) {
       this->foundDead.push_back(report.target);
     }
   }
@@ -71,7 +150,23 @@
 LoadReports::updatePeerLoads(FleetMembers& members, MilliTime now)
 {
   this->board.zonePeers = members.liveInZone(now);
+  this->board.zoneRank = members.rankInZone(now);
+  this->resetPeerLoads();
+  if (!this->board.settings.policy.usesPeerLoads) {
+    return;
+  }
+  this->sums.expire(now);
+  for (auto& [address, known] : members.all()) {
+    this->addReports(known, now);
+  }
+  this->addZoneSums();
+}
+
+void
+LoadReports::resetPeerLoads()
+{
   const std::size_t count = this->board.registry.targets().size();
+  this->ownZone.assign(count, {});
   for (TargetSlot slot = 0; slot < count; ++slot) {
     TargetLoad& load = this->board.observer.mutableLoad(slot);
     load.peerFlows = 0;
@@ -79,12 +174,6 @@
     load.flowsAtReport = load.flows;
     load.busyAtReport = load.busy;
   }
-  if (!this->board.settings.policy.usesPeerLoads) {
-    return;
-  }
-  for (auto& [address, known] : members.all()) {
-    this->addReports(known, now);
-  }
 }
 
 void
@@ -98,10 +187,9 @@
     if (slot == kNoTargetSlot) {
       continue;
     }
-    TargetLoad& load = this->board.observer.mutableLoad(slot);
-    load.peerFlows += received.report.flows;
-    load.peerBusy += received.report.busy;
+    this->addLoad(member, received.report);
     if (received.report.sinceProgress) {
+      TargetLoad& load = this->board.observer.mutableLoad(slot);
       const MilliTime progress{ received.at.ms -
                                 received.report.sinceProgress->ms };
       load.peerProgressAt = std::max(load.peerProgressAt, progress);
@@ -110,4 +198,36 @@
   }
 }
 
+void
+LoadReports::addLoad(const KnownMember& member, const TargetReport& report)
+{
+  if (this->sums.contains(member.member.zone, report.target)) {
+    return; // The zone's sum contains it.
+  }
+  const TargetSlot slot = this->board.registry.find(report.target);
+  TargetLoad& load = this->board.observer.mutableLoad(slot);
+  load.peerFlows += report.flows;
+  load.peerBusy += report.busy;
+  if (member.member.zone == this->board.settings.zone) {
+    this->ownZone[slot].flows += report.flows;
+    this->ownZone[slot].busy += report.busy;
+  }
+}
+
+void
+LoadReports::addZoneSums()
+{
+  for (const auto& [zone, targets] : this->sums.all()) {
+    for (const auto& [target, sum] : targets) {
+      const TargetSlot slot = this->board.registry.find(target);
+      if (slot == kNoTargetSlot) {
+        continue;
+      }
+      TargetLoad& load = this->board.observer.mutableLoad(slot);
+      load.peerFlows += sum.flows;
+      load.peerBusy += sum.busy;
+    }
+  }
+}
+
 }
--- a/buckthornwing/src/Fleet/LoadReports.h
+++ b/buckthornwing/src/Fleet/LoadReports.h
@@ -3,7 +3,9 @@
 
 #include "../Steering/TagBlackboard.h"
 #include "FleetMembers.h"
+#include "ZoneSums.h"
 
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +24,13 @@
   /// turn all targets that have flows of this instance or that it found dead.
   std::vector<TargetReport> nextReports(MilliTime now);
 
+  /// \returns the reports for the next message to a member of another zone,
+  /// with the sums of the loads that this zone's instances cause. Successive
+  /// messages cover in turn the targets of both zones; if there is room left,
+  /// those of nextReports() too.
+  std::vector<TargetReport> nextZoneReports(std::string_view receiverZone,
+                                            MilliTime now);
+
   /// \brief Stores the reports of a member's heartbeat.
   void receive(KnownMember& member, const FleetHeartbeat& body, MilliTime now);
 
@@ -39,9 +48,25 @@
 private:
   TagBlackboard& board;
   std::size_t nextTarget = 0; ///< slot at which the next reports begin
+  /// Like \a nextTarget, for reports of zones' sums.
+  std::size_t nextSummedTarget = 0;
   std::vector<ShortTargetKey> foundDead;
+  ZoneSums sums; ///< of other zones
+  /// Loads that all instances of this zone cause, indexed by TargetSlot.
+  std::vector<ZoneSum> ownZone;
 
+  bool hasOwnLoad(TargetSlot slot) const;
+  TargetReport reportOf(TargetSlot slot, MilliTime now) const;
+  TargetReport summedReportOf(TargetSlot slot, MilliTime now) const;
+  template<typename Filter, typename Report>
+  void append(std::vector<TargetReport>& reports,
+              std::size_t& next,
+              Filter filter,
+              Report report) const;
+  void resetPeerLoads();
   void addReports(KnownMember& member, MilliTime now);
+  void addLoad(const KnownMember& member, const TargetReport& report);
+  void addZoneSums();
 };
 
 }
--- a/buckthornwing/src/Fleet/fleet.thrift
+++ b/buckthornwing/src/Fleet/fleet.thrift
@@ -66,8 +66,8 @@
   6: bool dead
   7: i32 target // short hash of the target's id
   8: optional i32 serviceTenthMs // mean service time, in tenths of a millisecond
-  // Sums over all instances, as known to the sender. Set for targets of the
-  // sender's zone only.
+  // Sums over all instances of the sender's zone, as known to the sender. Set
+  // if the receiver is of another zone.
   9: optional i32 totalFlows
   10: optional i32 totalBusy
 }
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -1,5 +1,8 @@
 #include "PlacementPolicy.h"
 
+#include "PlacementAperture.h"
+#include "ZoneRooms.h"
+
 #include <algorithm>
 #include <limits>
 
@@ -15,6 +18,9 @@
 /// be shorter. The round trip between zones takes about as long as one request.
 constexpr double kMinSavedRounds = 2.0;
 
+/// \brief Number of peers in the zone that hear each heartbeat.
+constexpr std::size_t kPeersOfFreshReports = 3;
+
 /// \brief Added to the load of a target that new flows avoid, because it may
 /// not answer. Such a target is chosen only if all targets are avoided.
 constexpr double kSilentPenalty = 1000000.0;
@@ -88,6 +94,36 @@
 
 }
 
+namespace internal {
+
+/// \returns whether a request can start at once at the best target of a zone,
+/// which answers. If none can, queues last longer than reports, and the load
+/// that peers report decides.
+bool
+hasFreeSlot(const TagBlackboard& board, const Candidate& best)
+{
+  return best.slot != kNoTargetSlot && !best.isSilent() &&
+         queuedRounds(board, best.slot) == 0;
+}
+
+/// \returns whether the aperture is used: its zone has so many instances that
+/// the reports of most of them are older than a request takes.
+bool
+hasOldReports(const TagBlackboard& board)
+{
+  return board.settings.policy.usesAperture &&
+         board.zonePeers > kPeersOfFreshReports;
+}
+
+bool
+sharesByRoom(const TagBlackboard& board)
+{
+  const TagPolicySettings& policy = board.settings.policy;
+  return policy.sharesZones && policy.usesZoneRoom;
+}
+
+}
+
 ServiceSlot
 chooseService(const Route& route, FlowId flow)
 {
@@ -169,17 +205,33 @@
 {
   internal::Candidate own;
   internal::Candidate other;
+  ZoneRoom ownRoom;
+  std::vector<ZoneRoom> otherRooms;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
     const KnownTarget& target = board.registry.at(slot);
     const bool isLocal = target.record.zone == board.settings.zone ||
                          !board.settings.policy.prefersOwnZone;
+    const double penalty = internal::silencePenalty(board, slot, now);
     (isLocal ? own : other)
       .offer({ slot,
-               placementLoad(board, slot) +
-                 internal::silencePenalty(board, slot, now),
+               placementLoad(board, slot) + penalty,
                internal::rendezvousScore(flow, target) });
+    ZoneRoom& room = isLocal ? ownRoom : roomOf(otherRooms, target.record.zone);
+    room.add({ slot, target.key.bits, internal::slotsOf(target), penalty == 0 },
+             board.observer.load(slot));
+  }
+  ZoneRoom* emptier = internal::sharesByRoom(board)
+                        ? chooseOtherZone(ownRoom, otherRooms, flow)
+                        : nullptr;
+  if (emptier != nullptr) {
+    return chooseInAperture(board, emptier->targets, flow);
   }
-  return internal::chooseZone(board, own, other).slot;
+  const internal::Candidate best = internal::chooseZone(board, own, other);
+  const bool usesAperture = best.slot == own.slot &&
+                            internal::hasFreeSlot(board, own) &&
+                            internal::hasOldReports(board);
+  return usesAperture ? chooseInAperture(board, ownRoom.targets, flow)
+                      : best.slot;
 }
 
 }
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -88,7 +88,9 @@
   MilliDuration lastTickGap{};
   std::vector<TargetHealth> health; ///< indexed by TargetSlot
   std::size_t zonePeers = 0;        ///< live peers in this instance's zone
-  bool stopping = false;            ///< requestStop() was called
+  /// Position of this instance among the active ones of its zone, from 0.
+  std::size_t zoneRank = 0;
+  bool stopping = false;        ///< requestStop() was called
   std::vector<TagEvent> events; ///< not yet taken by TagEngine::takeEvents()
 
   /// \returns an identifier for an event that this instance observes now.
--- a/buckthornwing/src/Steering/TagPolicySettings.h
+++ b/buckthornwing/src/Steering/TagPolicySettings.h
@@ -15,6 +15,9 @@
   bool weighsQueues = true;    ///< counts queued requests in a target's load
   bool prefersOwnZone = true;  ///< places new flows in this instance's zone
   bool sharesZones = true;     ///< uses other zones while requests queue in it
+  bool usesZoneRoom = true;    ///< uses other zones by the room that zones have
+  bool usesAperture = true;    ///< prefers a part of the zone's targets
+  bool sumsZones = true;       ///< reports to other zones the zone's sums
   bool usesPeerLoads = true;   ///< counts the load that peers report
   bool findsSilent = true;     ///< suspects targets that do not answer
   bool probes = true;          ///< probes suspected targets
@@ -42,6 +45,9 @@
   TagPolicyName{ "queue_weight", &TagPolicySettings::weighsQueues },
   TagPolicyName{ "zone_preference", &TagPolicySettings::prefersOwnZone },
   TagPolicyName{ "zone_sharing", &TagPolicySettings::sharesZones },
+  TagPolicyName{ "zone_room", &TagPolicySettings::usesZoneRoom },
+  TagPolicyName{ "aperture", &TagPolicySettings::usesAperture },
+  TagPolicyName{ "zone_sums", &TagPolicySettings::sumsZones },
   TagPolicyName{ "peer_loads", &TagPolicySettings::usesPeerLoads },
   TagPolicyName{ "suspicion", &TagPolicySettings::findsSilent },
   TagPolicyName{ "probes", &TagPolicySettings::probes },
--- a/test/tag/LoadPattern.h
+++ b/test/tag/LoadPattern.h
@@ -1,6 +1,8 @@
 #ifndef BUCKTHORNWING_TEST_LOAD_PATTERN_H
 #define BUCKTHORNWING_TEST_LOAD_PATTERN_H
 
+#include "QueueMeter.h"
+
 #include <Core>
 
 #include <cstddef>
@@ -39,6 +41,12 @@
   /// Whether an opening, except for its last copy, is dropped while all targets
   /// of the zone are overloaded.
   bool dropsOpeningsUnderLoad = false;
+  MilliDuration tickSpread{ 0 };   ///< instances begin to tick within this time
+  MilliDuration measuredFrom{ 0 }; ///< start of LoadResult::queues
+  MilliDuration wavePeriod{ 0 };   ///< of each zone's demand, in shifted phase;
+                                   ///< 0 for constant demand
+  double firstZoneDemand = 1;      ///< of the first zone's callers, by others'
+  double messageLoss = 0;          ///< probability that a heartbeat is lost
   std::uint64_t seed = 1;
 };
 
@@ -58,6 +66,7 @@
   /// Requests per slot in the zone with the most divided by those in the zone
   /// with the fewest, sampled for 1.5 s after the outage.
   double zoneImbalance = 0;
+  QueueMeter queues;
 };
 
 }
--- a/test/tag/LoadReplay.h
+++ b/test/tag/LoadReplay.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_TEST_LOAD_REPLAY_H
 
 #include "LoadPattern.h"
+#include "QueueMeter.h"
 #include "ReplayCaller.h"
 #include "ReplayFabric.h"
 #include "ReplayTarget.h"
@@ -12,6 +13,7 @@
 #include <Fleet>
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <memory>
 
@@ -44,6 +46,10 @@
         this->random.unit() < pattern.newFlowShare;
       this->pauseCaller(i);
     }
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      this->firstTicks.push_back(this->now +
+                                 this->drawWithin(pattern.tickSpread));
+    }
     this->tickEngines();
     this->checkInstances();
   }
@@ -81,6 +87,14 @@
   LoadResult result;
   MilliTime outageEnd{};
   ZoneLoad zoneLoad;
+  std::vector<MilliTime> firstTicks; ///< of each instance
+
+  MilliDuration drawWithin(MilliDuration span)
+  {
+    return MilliDuration{ static_cast<std::int64_t>(
+      span.ms == 0 ? 0
+                   : this->random.below(static_cast<std::uint64_t>(span.ms))) };
+  }
 
   void after(MilliDuration span, std::function<void()> run)
   {
@@ -175,12 +189,13 @@
   void tickEngines()
   {
     this->after(kTagTickPeriod, [this] { this->tickEngines(); });
-    for (auto& engine : this->engines) {
-      if (engine != nullptr) {
-        confirmView(*engine, this->now);
-        engine->tick(this->now);
+    for (std::size_t i = 0; i < this->engines.size(); ++i) {
+      if (this->engines[i] != nullptr && this->now >= this->firstTicks[i]) {
+        confirmView(*this->engines[i], this->now);
+        this->engines[i]->tick(this->now);
       }
     }
+    this->sampleSpread();
     for (auto& engine : this->engines) {
       if (engine != nullptr) {
         this->afterInput(*engine);
@@ -188,10 +203,28 @@
     }
   }
 
+  bool isMeasured() const
+  {
+    return this->now - this->start >= this->pattern.measuredFrom;
+  }
+
+  void sampleSpread()
+  {
+    for (std::size_t zone = 0;
+         this->isMeasured() && zone < this->pattern.zones.size();
+         ++zone) {
+      this->result.queues.sample(this->targets, zone);
+    }
+  }
+
   void afterInput(TagEngine& engine)
   {
     for (OutgoingFleetMessage& outgoing : engine.takeOutgoing()) {
       const std::size_t to = outgoing.to.port - 1UL;
+      if (this->pattern.messageLoss > 0 &&
+          this->random.unit() < this->pattern.messageLoss) {
+        continue;
+      }
       if (to < this->engines.size() && this->engines[to] != nullptr) {
         this->engines[to]->onFleetMessage(outgoing.message, this->now);
       }
@@ -243,10 +276,28 @@
     return isLocal ? MilliDuration{} : this->pattern.crossZoneDelay;
   }
 
+  /// \returns the present demand of a zone's callers by their mean demand.
+  double demandOf(std::size_t zone) const
+  {
+    const double constant = zone == 0 ? this->pattern.firstZoneDemand : 1;
+    if (this->pattern.wavePeriod.ms == 0) {
+      return constant;
+    }
+    constexpr double kTurn = 6.283185307179586;
+    constexpr double kWave = 0.55;
+    const double phase = static_cast<double>(zone) /
+                         static_cast<double>(this->pattern.zones.size());
+    const double at = static_cast<double>((this->now - this->start).ms) /
+                      static_cast<double>(this->pattern.wavePeriod.ms);
+    return constant + kWave * std::sin(kTurn * (at + phase));
+  }
+
   void pauseCaller(std::size_t index)
   {
-    const auto mean = static_cast<std::uint64_t>(this->pattern.pause.ms);
-    const auto span = static_cast<std::int64_t>(this->random.below(2 * mean));
+    const double mean = static_cast<double>(this->pattern.pause.ms) /
+                        this->demandOf(this->callers[index].zone);
+    const auto span = static_cast<std::int64_t>(
+      this->random.below(static_cast<std::uint64_t>(2 * mean)));
     this->after(MilliDuration{ span },
                 [this, index] { this->startRequest(index); });
   }
@@ -330,6 +381,10 @@
     }
     this->countOpening(copy);
     const std::size_t target = this->targetAt(*engine, decision.target);
+    if (this->isMeasured()) {
+      this->result.queues.onOpening(
+        this->targets, target, this->pattern.slots, caller.zone);
+    }
     if (!this->targets[target].isCrashed) {
       const MilliDuration handshake{ 2 +
                                      2 * this->delayTo(*engine, target).ms };
