--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -100,6 +100,8 @@
   /// Kept up to date while a service limits its cold targets.
   ActiveMembers activeMembers;
   SlowStartLimiter slowStart;
+  /// Position of this instance among the active ones of its zone, from 0.
+  std::size_t zoneRank = 0;
   bool stopping = false;        ///< requestStop() was called
   std::vector<TagEvent> events; ///< not yet taken by TagEngine::takeEvents()
 
