Dead targets of an evacuated zone are probed again; odd keys hide no answer

Callers whose flows moved to another instance could be reset although their target was alive: an instance that had found the target dead, and had no flow there, no longer probed it while its zone was evacuated, so it never learned that the target answers again. A dead target is probed in any case now; a suspected one, whose flows are forwarded, still only with flows here. Weighed: to trust an unused target again, which would send it new flows unproven as soon as the zone is taken back.

One key under the operator's prefix that is not UTF-8 made the whole answer of the store unreadable, so neither configurations nor evacuations were applied. Such an item is left out alone, and the listing goes on after it.

--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -359,9 +359,12 @@
 {
   const TargetHealth& health = this->board.health[slot];
   const KnownTarget& target = this->board.registry.at(slot);
+  // A dead target's flows are reset, and may come from other instances, so it
+  // is probed in any case.
   const bool isWanted =
-    (health.state != HealthState::trusted || target.needsAnswer()) &&
-    !this->isUnused(slot);
+    health.state == HealthState::dead ||
+    ((health.state == HealthState::suspected || target.needsAnswer()) &&
+     !this->isUnused(slot));
   if (isWanted && !health.probing && now >= health.nextProbeAt && target.used &&
       target.presence != TargetPresence::gone) {
     this->requestProbe(slot, now);
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -89,7 +89,7 @@
   bool wasSilentControl(TargetSlot slot, MilliTime now) const;
   bool isEligibleAsControl(TargetSlot slot, TargetSlot target) const;
   /// \returns whether a target's zone is evacuated and no flow of this instance
-  /// is open there, so that its health does not matter.
+  /// is open there, so that it does not matter whether it is suspected.
   bool isUnused(TargetSlot slot) const;
   TargetSlot chooseControl(TargetSlot target, MilliTime now) const;
   void requestControlProbe(TargetSlot target, MilliTime now);
--- a/test/platform/items.cpp
+++ b/test/platform/items.cpp
@@ -282,6 +282,21 @@
   cr_assert_not(parseStoreResponse(R"({"items":[]})").has_value());
 }
 
+/// Guards against one key of another writer that hides the whole response: a
+/// listing would never end, and nothing that the operator writes would apply.
+Test(items, a_key_that_is_not_utf_8_is_left_out_alone)
+{
+  const auto response = parseStoreResponse(
+    "{\"items\":[{\"key\":\"op/config\",\"value\":\"aGk=\",\"revision\":4},"
+    "{\"key\":\"op/evacuate/\xff\",\"value\":\"\",\"revision\":5}],"
+    "\"as_of\":6,\"has_more\":true}");
+  cr_assert(response.has_value());
+  cr_assert_eq(response->items.size(), 1);
+  cr_assert_eq(response->items[0].key, "op/config");
+  cr_assert_eq(response->lastKey, "op/evacuate/\xff");
+  cr_assert_eq(response->asOf, 6);
+}
+
 Test(items, a_value_that_is_not_base64_is_unreadable)
 {
   const auto response = parseStoreResponse(
