Requests of open flows count against a cold target's limit

Callers that keep their flows open ask again and again: a cold target got a new set of flows each second, and the requests of all earlier ones on top.

A further request is told from the first one, which its opening stands for, by the flow that was idle before it. Flows that are open already can't be refused, so their bursts may still exceed an instance's share.

The active members are sorted: a rehash of the member table changed their order and counted as a change of the members.

--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -365,6 +365,7 @@
       active.peers.push_back({ known.order, zoneKeyOf(known.member.zone) });
     }
   }
+  std::sort(active.peers.begin(), active.peers.end());
   return active;
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -137,8 +137,9 @@
       flow.requested = true;
       flow.busySince = now;
     }
+    const bool isFurther = !flow.busy;
     this->markBusy(flow);
-    return Observation::requested;
+    return isFurther ? Observation::requestedAgain : Observation::requested;
   }
   if (now - flow.sentAt < internal::kMinRetransmissionDelay) {
     return Observation::nothing;
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -19,6 +19,7 @@
                         ///< it yet
   established,       ///< the caller received the target's part of the handshake
   requested,         ///< new request data
+  requestedAgain,    ///< first data of a further request on an open flow
   progressed,        ///< the caller acknowledged more response data
   dataRetransmitted, ///< retransmitted request data: the target does not
                      ///< respond
--- a/buckthornwing/src/SlowStart/ActiveMembers.h
+++ b/buckthornwing/src/SlowStart/ActiveMembers.h
@@ -3,6 +3,7 @@
 
 #include "../Core/Hash.h"
 
+#include <compare>
 #include <cstdint>
 #include <string_view>
 #include <vector>
@@ -25,7 +26,7 @@
   std::uint64_t key = 0; ///< hash of its id; the same at all members
   ZoneKey zone = 0;
 
-  bool operator==(const ActiveMember&) const = default;
+  auto operator<=>(const ActiveMember&) const = default;
 };
 
 /// \brief The active members of the fleet as seen by one instance.
@@ -36,7 +37,7 @@
   /// The settings name other instances: without a peer, this instance does not
   /// know the fleet.
   bool expectsPeers = false;
-  std::vector<ActiveMember> peers; ///< in any order that stays the same
+  std::vector<ActiveMember> peers; ///< in ascending order
 
   /// \returns the number of active members, this instance included.
   std::size_t count() const
--- a/buckthornwing/src/SlowStart/PlacementWindow.h
+++ b/buckthornwing/src/SlowStart/RequestWindow.h
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNWING_PLACEMENT_WINDOW_H
-#define BUCKTHORNWING_PLACEMENT_WINDOW_H
+#ifndef BUCKTHORNWING_REQUEST_WINDOW_H
+#define BUCKTHORNWING_REQUEST_WINDOW_H
 
 #include "../Core/MilliTime.h"
 
@@ -8,12 +8,12 @@
 
 namespace buckthornwing {
 
-/// \brief Span in which placements are counted: a second, and the difference of
+/// \brief Span in which requests are counted: a second, and the difference of
 /// the times that two openings may take from the instance to the target.
-inline constexpr MilliDuration kPlacementWindow{ 1100 };
+inline constexpr MilliDuration kRequestWindow{ 1100 };
 
-/// \brief Times of the last placements on one target, in a window that slides.
-class PlacementWindow
+/// \brief Times of the last requests to one target, in a window that slides.
+class RequestWindow
 {
 public:
   void add(MilliTime now)
@@ -22,12 +22,12 @@
     this->times.push_back(now);
   }
 
-  /// \returns the number of placements in the window that ends now.
+  /// \returns the number of requests in the window that ends now.
   std::size_t count(MilliTime now) const
   {
     std::size_t recent = this->times.size();
     for (const MilliTime at : this->times) {
-      if (now - at <= kPlacementWindow) {
+      if (now - at <= kRequestWindow) {
         break;
       }
       --recent;
@@ -40,8 +40,7 @@
 
   void dropOld(MilliTime now)
   {
-    while (!this->times.empty() &&
-           now - this->times.front() > kPlacementWindow) {
+    while (!this->times.empty() && now - this->times.front() > kRequestWindow) {
       this->times.pop_front();
     }
   }
--- a/buckthornwing/src/SlowStart/SlowStartLimiter.cpp
+++ b/buckthornwing/src/SlowStart/SlowStartLimiter.cpp
@@ -23,7 +23,7 @@
   // A target that comes back within a second is still limited by what was
   // placed on it.
   std::erase_if(this->limited, [now](const auto& each) {
-    return !each.second.isListed && each.second.placements.count(now) == 0;
+    return !each.second.isListed && each.second.requests.count(now) == 0;
   });
 }
 
@@ -54,15 +54,15 @@
     return false;
   }
   const LimitedTarget& entry = found->second;
-  return entry.isListed && entry.placements.count(now) < entry.share.value();
+  return entry.isListed && entry.requests.count(now) < entry.share.value();
 }
 
 void
-SlowStartLimiter::recordPlacement(TargetKey target, MilliTime now)
+SlowStartLimiter::recordRequest(TargetKey target, MilliTime now)
 {
   const auto found = this->limited.find(target);
   if (found != this->limited.end()) {
-    found->second.placements.add(now);
+    found->second.requests.add(now);
   }
 }
 
--- a/buckthornwing/src/SlowStart/SlowStartLimiter.h
+++ b/buckthornwing/src/SlowStart/SlowStartLimiter.h
@@ -3,7 +3,7 @@
 
 #include "HeldShare.h"
 #include "MembershipWatch.h"
-#include "PlacementWindow.h"
+#include "RequestWindow.h"
 #include "SlowStartShare.h"
 
 #include <map>
@@ -33,12 +33,14 @@
   /// before the first update with the target.
   bool mayPlace(TargetKey target, MilliTime now) const;
 
-  /// \brief Records that a flow was placed on a target. Ignored if the target
-  /// is not limited.
-  void recordPlacement(TargetKey target, MilliTime now);
+  /// \brief Records that a flow was placed on a target, which stands for its
+  /// first request, or that an open flow sent a further one. Ignored if the
+  /// target is not limited.
+  void recordRequest(TargetKey target, MilliTime now);
 
 private:
-  /// \brief What this instance may place and has placed on a cold target.
+  /// \brief What this instance may place on a cold target, and what it sent
+  /// there lately.
   struct LimitedTarget
   {
     ColdTarget target;
@@ -47,7 +49,7 @@
     std::optional<std::uint64_t> version;
     std::uint32_t computed = 0;
     HeldShare share;
-    PlacementWindow placements;
+    RequestWindow requests;
     bool isListed = false; ///< it is in the list of this update
   };
 
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -111,6 +111,10 @@
       this->health.onRetransmission(decision.target, flow->sentAt, now);
       break;
     }
+    case Observation::requestedAgain:
+      this->board.slowStart.recordRequest(
+        this->board.registry.at(decision.target).key, now);
+      break;
     case Observation::established:
     case Observation::progressed:
       this->health.onProgress(decision.target, now);
@@ -175,7 +179,7 @@
         : SteeringReason::noTarget;
     return this->resetOrDrop(decision, reason, now);
   }
-  this->board.slowStart.recordPlacement(
+  this->board.slowStart.recordRequest(
     this->board.registry.at(decision.target).key, now);
   this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
   decision.outcome = SteeringOutcome::forward;
--- a/test/tag/SlowStartFleet.h
+++ b/test/tag/SlowStartFleet.h
@@ -294,7 +294,7 @@
   {
     for (std::size_t i = 0; i < this->targets.size(); ++i) {
       while (instance.limiter.mayPlace(this->targets[i].key, this->now)) {
-        instance.limiter.recordPlacement(this->targets[i].key, this->now);
+        instance.limiter.recordRequest(this->targets[i].key, this->now);
         this->arrivals[i].push_back(this->now + this->upTo(kMaxTravelMs));
       }
     }
--- a/test/tag/slow_start_steering.cpp
+++ b/test/tag/slow_start_steering.cpp
@@ -130,6 +130,28 @@
   cr_assert(world.send(opening(flow, 4)).reason == SteeringReason::openingCopy);
 }
 
+/// Callers keep their flows open: what these ask leaves less room for new ones.
+Test(slow_start_steering, further_requests_of_open_flows_use_the_limit)
+{
+  ColdFixture world(6, { cold(1, 200, 30_s), gone(2, 200) });
+  std::vector<std::pair<FlowKey, FlowTag>> flows;
+  for (unsigned i = 1; i <= 3; ++i) {
+    const FlowKey flow = flowOf(100 + i);
+    const FlowTag tag = world.open(flow).tag;
+    world.send(flowPacket(flow, tag, 1001, 1, 100));
+    flows.emplace_back(flow, tag);
+  }
+  world.run(1200_ms);
+  for (const auto& [flow, tag] : flows) {
+    world.send(flowPacket(flow, tag, 1101, 500));
+    world.send(flowPacket(flow, tag, 1101, 500, 50));
+    world.send(flowPacket(flow, tag, 1151, 500, 50));
+  }
+  cr_assert_eq(world.openMany(5).at("warming_up"), 5);
+  world.run(1200_ms);
+  cr_assert_eq(world.openMany(5).at("t-1"), 3);
+}
+
 /// A target restarts within an instance's ticks: it is limited from its entry
 /// on.
 Test(slow_start_steering, a_target_that_has_just_become_cold_waits_for_a_tick)
@@ -144,7 +166,8 @@
   cr_assert_eq(world.openMany(50).at("t-1"), 50, "warm");
 }
 
-/// The day begins and ends with a target's slow start, which operators see.
+/// A target becomes cold and warm again, and renews its entry in between:
+/// operators see both.
 Test(slow_start_steering, each_slow_start_is_logged_once)
 {
   ColdFixture world(4, {});
