A fraction of the remaining warm-up is rounded up

A registration that says 700.5 ms was decoded as 0, so the target was taken for warm at once. Whole numbers are decoded as before; negative ones are 0.

--- a/test/platform/items.cpp
+++ b/test/platform/items.cpp
@@ -179,6 +179,28 @@
   cr_assert_eq(change.record.incarnation, 0);
 }
 
+/// Targets that are cold for less than a millisecond more, or write the time as
+/// a fraction: they aren't warm yet.
+Test(items, a_fraction_of_the_remaining_warmup_is_rounded_up)
+{
+  const auto remaining = [](const std::string& number) {
+    const std::size_t at = kRegistration.find("700");
+    const std::string text =
+      kRegistration.substr(0, at) + number + kRegistration.substr(at + 3);
+    const TargetChange change = parseTarget(item("servers/i-1", text), 0);
+    cr_assert(change.kind == ChangeKind::listed);
+    return change.record.remainingWarmup.ms;
+  };
+  cr_assert_eq(remaining("700"), 700);
+  cr_assert_eq(remaining("700.0"), 700);
+  cr_assert_eq(remaining("700.2"), 701);
+  cr_assert_eq(remaining("0.001"), 1);
+  cr_assert_eq(remaining("0.0"), 0);
+  cr_assert_eq(remaining("-0.5"), 0);
+  cr_assert_eq(remaining("-3"), 0);
+  cr_assert_eq(remaining("1e12"), 1'000'000'000);
+}
+
 /// Services whose cold targets bear few requests; without a rate that makes
 /// sense nothing is limited.
 Test(items, the_rate_of_cold_targets_is_decoded)
