--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -453,6 +453,7 @@
       active.peers.push_back({ known.order.hash, zoneKeyOf(known.member.zone) });
     }
   }
+  std::sort(active.peers.begin(), active.peers.end());
   return active;
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -166,8 +166,9 @@
       flow.busySince = now;
       flow.foundFreeSlot = this->hasFreeSlot(flow, now);
     }
+    const bool isFurther = !flow.busy;
     this->markBusy(flow);
-    return Observation::requested;
+    return isFurther ? Observation::requestedAgain : Observation::requested;
   }
   if (now - flow.sentAt < internal::kMinRetransmissionDelay) {
     return Observation::nothing;
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -101,7 +101,7 @@
   }
   if (decision.reason == SteeringReason::placed) {
     this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
-    this->board.slowStart.recordPlacement(
+    this->board.slowStart.recordRequest(
       this->board.registry.at(decision.target).key, now);
   }
   if (decision.outcome == SteeringOutcome::forward) {
@@ -130,6 +130,10 @@
       this->health.onRetransmission(decision.target, flow->sentAt, now);
       break;
     }
+    case Observation::requestedAgain:
+      this->board.slowStart.recordRequest(
+        this->board.registry.at(decision.target).key, now);
+      break;
     case Observation::established:
     case Observation::progressed:
       this->health.onProgress(decision.target, now);
