--- /dev/null
+++ b/buckthornwing/src/Admission/AdmissionPolicy.cpp
@@ -0,0 +1,55 @@
+#include "AdmissionPolicy.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornwing {
+namespace internal {
+
+/// \brief Rounds from which on targets are expected to turn requests away: they
+/// queue a few only, and what they turn away has waited for nothing.
+constexpr double kMaxRounds = 3;
+/// \brief Part of the more urgent routes' latency objective that may be spent
+/// on waiting for less urgent requests.
+constexpr double kObjectiveShare = 0.25;
+/// \brief Part of the limit from which on some flows are refused.
+constexpr double kRampStart = 0.5;
+
+}
+
+double
+admissionLimit(const AdmissionRequest& request, const ServiceQueue& queue)
+{
+  double limit = std::ldexp(
+    internal::kMaxRounds,
+    -static_cast<int>(std::min<std::size_t>(request.moreUrgent, 32)));
+  if (!queue.roundMs || *queue.roundMs <= 0) {
+    return limit;
+  }
+  if (request.timeout) {
+    const auto timeout = static_cast<double>(request.timeout->ms);
+    limit = std::min(limit, timeout / *queue.roundMs - 1);
+  }
+  if (request.moreUrgent > 0 && request.urgentObjective) {
+    const auto objective = static_cast<double>(request.urgentObjective->ms);
+    limit =
+      std::min(limit, internal::kObjectiveShare * objective / *queue.roundMs);
+  }
+  return std::max(0.0, limit);
+}
+
+double
+refusalProbability(const AdmissionRequest& request, const ServiceQueue& queue)
+{
+  if (queue.rounds <= 0) {
+    return 0;
+  }
+  const double limit = admissionLimit(request, queue);
+  if (queue.rounds >= limit) {
+    return 1;
+  }
+  const double start = internal::kRampStart * limit;
+  return std::clamp((queue.rounds - start) / (limit - start), 0.0, 1.0);
+}
+
+}
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -99,11 +99,7 @@
     // A reset is never answered with a reset.
     decision.outcome = SteeringOutcome::drop;
   }
-  if (decision.reason == SteeringReason::placed) {
-    this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
-    this->board.slowStart.recordRequest(
-      this->board.registry.at(decision.target).key, now);
-  }
+  this->recordOpening(decision, id, now);
   if (decision.outcome == SteeringOutcome::forward) {
     this->observe(packet, id, decision, now);
   } else if (decision.outcome == SteeringOutcome::reset) {
@@ -203,11 +199,31 @@
     return this->resetOrDrop(
       decision, reasonWithoutTarget(this->board, service, now), now);
   }
+  if (this->admission.refuses(route, service, decision.target, id)) {
+    return this->resetOrDrop(decision, SteeringReason::overloaded, now);
+  }
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::placed;
   return decision;
 }
 
+void
+SteeringController::recordOpening(const SteeringDecision& decision,
+                                  FlowId id,
+                                  MilliTime now)
+{
+  const bool isPlaced = decision.reason == SteeringReason::placed;
+  if (isPlaced) {
+    this->board.counters.targetsAges.add(now - this->board.targetsConfirmedAt);
+    this->board.slowStart.recordRequest(
+      this->board.registry.at(decision.target).key, now);
+  }
+  if (isPlaced || decision.reason == SteeringReason::overloaded) {
+    this->admission.record(
+      *decision.route, chooseService(*decision.route, id), !isPlaced, now);
+  }
+}
+
 SteeringDecision
 SteeringController::decideOpenFlow(const CallerPacket& packet,
                                    FlowId id,
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_STEERING_CONTROLLER_H
 #define BUCKTHORNWING_STEERING_CONTROLLER_H
 
+#include "AdmissionController.h"
 #include "HealthController.h"
 #include "PlacementPolicy.h"
 #include "TagBlackboard.h"
@@ -13,9 +14,12 @@
 class SteeringController
 {
 public:
-  SteeringController(TagBlackboard& board, HealthController& health)
+  SteeringController(TagBlackboard& board,
+                     HealthController& health,
+                     AdmissionController& admission)
     : board(board)
     , health(health)
+    , admission(admission)
   {
   }
 
@@ -40,6 +44,7 @@
 private:
   TagBlackboard& board;
   HealthController& health;
+  AdmissionController& admission;
   LeastLoadPlacement byLoad;
   HashPlacement byHash;
   UnknownRoutes unknownRoutes;
@@ -55,6 +60,10 @@
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
                                  MilliTime now) const;
+  /// \brief Records a new flow that was placed or refused.
+  void recordOpening(const SteeringDecision& decision,
+                     FlowId id,
+                     MilliTime now);
   /// \returns whether copies of a flow's opening go to its target, which may
   /// have accepted the flow, although the target may take no new flows now.
   bool takesCopies(const TrackedFlow& flow) const;
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -17,6 +17,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <vector>
 
@@ -27,6 +28,8 @@
 {
   std::array<std::uint64_t, kSteeringReasonCount> decisions{};
   std::array<std::uint64_t, kSteeringOutcomeCount> outcomes{};
+  /// Flows refused while their service was overloaded, by priority.
+  std::map<std::uint32_t, std::uint64_t> refusedByPriority;
   std::uint64_t retransmissions = 0; ///< retransmissions by callers
   std::uint64_t probes = 0;          ///< probes requested
   /// Registry entries that could not be parsed.
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -21,7 +21,8 @@
   : state(std::move(settings))
   , view(this->state)
   , health(this->state)
-  , steering(this->state, this->health)
+  , admission(this->state)
+  , steering(this->state, this->health, this->admission)
   , flowReset(this->state)
   , fleet(this->state, this->view)
   , slowStart(this->state)
@@ -173,6 +174,7 @@
   this->view.tick(now);
   this->fleet.tick(now);
   this->slowStart.tick(now);
+  this->admission.tick(now);
   this->health.tick(now);
   if (now - this->lastSweep >= internal::kSweepPeriod) {
     this->lastSweep = now;
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -135,6 +135,7 @@
   TagBlackboard state;
   ViewController view;
   HealthController health;
+  AdmissionController admission;
   SteeringController steering;
   FlowResetController flowReset;
   FleetController fleet;
--- a/buckthornwing/src/Steering/TagPolicySettings.h
+++ b/buckthornwing/src/Steering/TagPolicySettings.h
@@ -11,21 +11,22 @@
 /// measure its effect; in production all parts are on.
 struct TagPolicySettings
 {
-  bool byLoad = true;          ///< places flows by load, otherwise by hash
-  bool weighsQueues = true;    ///< counts queued requests in a target's load
-  bool prefersOwnZone = true;  ///< places new flows in this instance's zone
-  bool sharesZones = true;     ///< uses other zones while requests queue in it
-  bool weighsSpeeds = true;    ///< places fewer flows on slower targets
-  bool usesZoneRoom = true;    ///< uses other zones by the room that zones have
-  bool usesAperture = true;    ///< prefers a part of the zone's targets
-  bool sumsZones = true;       ///< reports to other zones the zone's sums
-  bool usesPeerLoads = true;   ///< counts the load that peers report
-  bool findsSilent = true;     ///< suspects targets that do not answer
-  bool probes = true;          ///< probes suspected targets
-  bool resetsDeadFlows = true; ///< resets flows of dead targets at once
-  bool holdsPackets = true;    ///< holds packets that can't be decided yet
-  bool keepsLapsed = true;     ///< keeps entries that vanish in a store failure
-  bool takesPeerViews = true;  ///< fetches the first view from a peer
+  bool byLoad = true;         ///< places flows by load, otherwise by hash
+  bool weighsQueues = true;   ///< counts queued requests in a target's load
+  bool prefersOwnZone = true; ///< places new flows in this instance's zone
+  bool sharesZones = true;    ///< uses other zones while requests queue in it
+  bool weighsSpeeds = true;   ///< places fewer flows on slower targets
+  bool usesZoneRoom = true;   ///< uses other zones by the room that zones have
+  bool usesAperture = true;   ///< prefers a part of the zone's targets
+  bool sumsZones = true;      ///< reports to other zones the zone's sums
+  bool admitsByPriority = true; ///< refuses flows while a service is overloaded
+  bool usesPeerLoads = true;    ///< counts the load that peers report
+  bool findsSilent = true;      ///< suspects targets that do not answer
+  bool probes = true;           ///< probes suspected targets
+  bool resetsDeadFlows = true;  ///< resets flows of dead targets at once
+  bool holdsPackets = true;     ///< holds packets that can't be decided yet
+  bool keepsLapsed = true;    ///< keeps entries that vanish in a store failure
+  bool takesPeerViews = true; ///< fetches the first view from a peer
   /// Delays the first store read of a starting instance by initialReadDelay(),
   /// so that peers' views come first.
   bool asksPeersFirst = true;
@@ -50,6 +51,7 @@
   TagPolicyName{ "zone_room", &TagPolicySettings::usesZoneRoom },
   TagPolicyName{ "aperture", &TagPolicySettings::usesAperture },
   TagPolicyName{ "zone_sums", &TagPolicySettings::sumsZones },
+  TagPolicyName{ "admission", &TagPolicySettings::admitsByPriority },
   TagPolicyName{ "peer_loads", &TagPolicySettings::usesPeerLoads },
   TagPolicyName{ "suspicion", &TagPolicySettings::findsSilent },
   TagPolicyName{ "probes", &TagPolicySettings::probes },
