--- a/buckthornwing/src/Admission/AdmissionPolicy.cpp
+++ b/buckthornwing/src/Admission/AdmissionPolicy.cpp
@@ -9,6 +9,9 @@
 /// \brief Rounds from which on targets are expected to turn requests away: they
 /// queue a few only, and what they turn away has waited for nothing.
 constexpr double kMaxRounds = 3;
+/// \brief Part of the queue of a more urgent priority that the next one may
+/// fill.
+constexpr double kLessUrgentShare = 0.25;
 /// \brief Part of the more urgent routes' latency objective that may be spent
 /// on waiting for less urgent requests.
 constexpr double kObjectiveShare = 0.25;
@@ -20,9 +23,9 @@
 double
 admissionLimit(const AdmissionRequest& request, const ServiceQueue& queue)
 {
-  double limit = std::ldexp(
-    internal::kMaxRounds,
-    -static_cast<int>(std::min<std::size_t>(request.moreUrgent, 32)));
+  double limit =
+    internal::kMaxRounds * std::pow(internal::kLessUrgentShare,
+                                    static_cast<double>(request.moreUrgent));
   if (!queue.roundMs || *queue.roundMs <= 0) {
     return limit;
   }
--- a/buckthornwing/src/Admission/AdmissionPolicy.h
+++ b/buckthornwing/src/Admission/AdmissionPolicy.h
@@ -24,8 +24,8 @@
 /// \returns the rounds of queued requests from which on every new flow of this
 /// kind is refused.
 ///
-/// Each more urgent priority halves it, so that the queue that less urgent
-/// requests make leaves room for the more urgent ones.
+/// Each more urgent priority lowers it to a quarter, so that the queue that
+/// less urgent requests make leaves room for the more urgent ones.
 double
 admissionLimit(const AdmissionRequest& request, const ServiceQueue& queue);
 
