Evacuations: the query that only tests used is gone

Callers see nothing. isEvacuated(zone, now) had no caller but tests, which now ask zones() of a copy after removeExpired(), the way the product does. Each check is as strict as before.

--- a/buckthornwing/src/View/Evacuations.cpp
+++ b/buckthornwing/src/View/Evacuations.cpp
@@ -157,16 +157,6 @@
   }
 }
 
-bool
-Evacuations::isEvacuated(std::string_view zone, MilliTime now) const
-{
-  const auto zones = this->zones();
-  return std::any_of(
-    zones.begin(), zones.end(), [&](const Evacuation& evacuation) {
-      return evacuation.zone == zone && !this->isExpired(evacuation, now);
-    });
-}
-
 std::optional<StorePosition>
 Evacuations::position() const
 {
--- a/buckthornwing/src/View/Evacuations.h
+++ b/buckthornwing/src/View/Evacuations.h
@@ -42,9 +42,6 @@
   /// \brief Removes the evacuations of earlier eras whose time has passed.
   void removeExpired(MilliTime now);
 
-  /// \returns whether a zone is evacuated.
-  bool isEvacuated(std::string_view zone, MilliTime now) const;
-
   /// \returns whether any list was applied.
   bool loaded() const { return this->current.has_value(); }
   /// \returns the evacuations with their position; nothing before the first
--- a/test/tag/evacuations.cpp
+++ b/test/tag/evacuations.cpp
@@ -4,6 +4,7 @@
 
 #include "FleetWorld.h"
 
+#include <algorithm>
 #include <set>
 
 using namespace buckthornwing;
@@ -44,6 +45,19 @@
   return evacuations.applyDelta({ base, asOf, changes }, kNow);
 }
 
+/// \returns whether an evacuation of a zone is left after the expired ones were
+/// removed. Works on a copy.
+bool
+isInForce(Evacuations evacuations, const std::string& zone, MilliTime now)
+{
+  evacuations.removeExpired(now);
+  const auto zones = evacuations.zones();
+  return std::any_of(
+    zones.begin(), zones.end(), [&](const Evacuation& evacuation) {
+      return evacuation.zone == zone;
+    });
+}
+
 /// \brief Lets an engine read the complete list of evacuations.
 void
 evacuate(TagEngine& engine,
@@ -114,11 +128,11 @@
   Evacuations evacuations;
   list(evacuations, positionAt(10), { evacuated("a", 4), evacuated("b", 9) });
   list(evacuations, positionAt(20), { evacuated("b", 9) });
-  cr_assert_not(evacuations.isEvacuated("a", kNow));
-  cr_assert(evacuations.isEvacuated("b", kNow));
+  cr_assert_not(isInForce(evacuations, "a", kNow));
+  cr_assert(isInForce(evacuations, "b", kNow));
   // An earlier listing, which was under way for long, changes nothing.
   list(evacuations, positionAt(10), { evacuated("a", 4) });
-  cr_assert_not(evacuations.isEvacuated("a", kNow));
+  cr_assert_not(isInForce(evacuations, "a", kNow));
 }
 
 /// Guards against pages that are no snapshot: an entry that is newer than the
@@ -128,13 +142,13 @@
   Evacuations evacuations;
   list(evacuations, positionAt(10), { evacuated("a", 13) });
   list(evacuations, positionAt(11), {});
-  cr_assert(evacuations.isEvacuated("a", kNow));
+  cr_assert(isInForce(evacuations, "a", kNow));
   cr_assert(change(
     evacuations, positionAt(11), positionAt(12), { withdrawn("a", 12) }));
-  cr_assert(evacuations.isEvacuated("a", kNow));
+  cr_assert(isInForce(evacuations, "a", kNow));
   cr_assert(change(
     evacuations, positionAt(12), positionAt(14), { withdrawn("a", 14) }));
-  cr_assert_not(evacuations.isEvacuated("a", kNow));
+  cr_assert_not(isInForce(evacuations, "a", kNow));
 }
 
 Test(evacuations, changes_must_continue_from_the_position)
@@ -153,7 +167,7 @@
   // Changes that were known already are not applied again.
   cr_assert(
     change(evacuations, positionAt(8), positionAt(12), { withdrawn("a", 9) }));
-  cr_assert(evacuations.isEvacuated("a", kNow));
+  cr_assert(isInForce(evacuations, "a", kNow));
   cr_assert(evacuations.position() == std::optional(positionAt(13)));
 }
 
@@ -174,12 +188,12 @@
   list(evacuations, positionAt(10), { evacuated("a", 4) });
   evacuations.merge({ positionAt(10), {} }, kNow);
   evacuations.merge({ positionAt(9), {} }, kNow);
-  cr_assert(evacuations.isEvacuated("a", kNow));
+  cr_assert(isInForce(evacuations, "a", kNow));
   evacuations.merge({ positionAt(11), { { "b", { 0, 11 } } } }, kNow);
-  cr_assert_not(evacuations.isEvacuated("a", kNow));
-  cr_assert(evacuations.isEvacuated("b", kNow));
+  cr_assert_not(isInForce(evacuations, "a", kNow));
+  cr_assert(isInForce(evacuations, "b", kNow));
   evacuations.merge({ positionAt(2, 1), { { "c", { 1, 2 } } } }, kNow);
-  cr_assert(evacuations.isEvacuated("c", kNow));
+  cr_assert(isInForce(evacuations, "c", kNow));
 }
 
 /// The store comes back from a copy that lacks an evacuation: the operator has
@@ -190,14 +204,14 @@
   list(evacuations, positionAt(20), { evacuated("a", 12), evacuated("b", 9) });
   list(evacuations, positionAt(10, 1), { evacuated("b", 9, 1) });
   const MilliTime soon = kNow + MilliDuration{ kLostEvacuationLifetime.ms - 1 };
-  cr_assert(evacuations.isEvacuated("a", soon));
+  cr_assert(isInForce(evacuations, "a", soon));
   // Further lists of this era neither end it nor prolong it.
   list(evacuations, positionAt(14, 1), { evacuated("b", 9, 1) }, soon);
-  cr_assert(evacuations.isEvacuated("a", soon));
-  cr_assert_not(evacuations.isEvacuated("a", kNow + kLostEvacuationLifetime));
+  cr_assert(isInForce(evacuations, "a", soon));
+  cr_assert_not(isInForce(evacuations, "a", kNow + kLostEvacuationLifetime));
   evacuations.removeExpired(kNow + kLostEvacuationLifetime);
   cr_assert_eq(evacuations.zones().size(), 1);
-  cr_assert(evacuations.isEvacuated("b", kNow + kLostEvacuationLifetime));
+  cr_assert(isInForce(evacuations, "b", kNow + kLostEvacuationLifetime));
   // A peer that still has it does not bring it back.
   evacuations.merge({ positionAt(15, 1), { { "a", { 0, 12 } } } },
                     kNow + kLostEvacuationLifetime);
@@ -219,8 +233,8 @@
   peers.zones.push_back({ "real", { 0, 950 } });
   evacuations.merge(peers, kNow);
   cr_assert_eq(evacuations.zones().size(), Evacuations::kMaxZones);
-  cr_assert(evacuations.isEvacuated("real", kNow));
-  cr_assert(evacuations.isEvacuated("z500", kNow));
+  cr_assert(isInForce(evacuations, "real", kNow));
+  cr_assert(isInForce(evacuations, "z500", kNow));
   cr_assert(std::is_sorted(evacuations.zones().begin(),
                            evacuations.zones().end(),
                            [](const auto& left, const auto& right) {
