Remarks of reviews: keys logged whole, rates of peers bounded

Callers see nothing. A key cut after 100 bytes could end within a UTF-8 character, so the log line was no valid JSON; keys have at most 200 bytes and are logged whole. A peer's rate of cold targets passes the rule of the store's items (above 0, at most 10^6; otherwise not limited), which now stands once, in View/Route.h; before, an infinite rate was taken over. SlowStartController does nothing in a tick while no service has a rate, once it has ended the limits. The comment of combine() said that the estimator uses means; it uses a quantile.

--- a/buckthornwing/src/Fleet/ViewWire.cpp
+++ b/buckthornwing/src/Fleet/ViewWire.cpp
@@ -250,10 +250,12 @@
     if (selector == nullptr) {
       return false;
     }
-    const bool isLimited = service.__isset.warmupRate && service.warmupRate > 0;
-    const double warmupRate = isLimited ? service.warmupRate : 0.0;
-    out.services.push_back(
-      { service.name, std::move(*selector), service.healthPath, warmupRate });
+    const double warmupRate =
+      service.__isset.warmupRate ? service.warmupRate : 0;
+    out.services.push_back({ service.name,
+                             std::move(*selector),
+                             service.healthPath,
+                             plausibleWarmupRate(warmupRate) });
   }
   for (const fleetwire::Route& route : in.routes) {
     Route parsed;
--- a/buckthornwing/src/Observation/ServiceTimeEstimate.h
+++ b/buckthornwing/src/Observation/ServiceTimeEstimate.h
@@ -18,8 +18,8 @@
   bool operator==(const ServiceTimeEstimate&) const = default;
 };
 
-/// \returns the mean of two estimates, weighted by their evidence. Means are
-/// geometric, as those of ServiceTimeEstimator.
+/// \returns the geometric mean of two estimates, weighted by their evidence.
+/// The estimates themselves are quantiles, see ServiceTimeEstimator.
 inline ServiceTimeEstimate
 combine(const ServiceTimeEstimate& left, const ServiceTimeEstimate& right)
 {
--- a/buckthornwing/src/Steering/SlowStartController.cpp
+++ b/buckthornwing/src/Steering/SlowStartController.cpp
@@ -9,10 +9,10 @@
 SlowStartController::tick(MilliTime now)
 {
   if (!limitsColdTargets(this->board.routes.routes())) {
-    this->reportChanges({}, now);
-    this->board.slowStart = SlowStartLimiter{};
+    this->endLimits(now);
     return;
   }
+  this->isLimiting = true;
   const std::vector<TargetSlot> slots = this->findLimited(now);
   std::vector<ColdTarget> targets;
   targets.reserve(slots.size());
@@ -23,6 +23,17 @@
   this->reportChanges(slots, now);
 }
 
+void
+SlowStartController::endLimits(MilliTime now)
+{
+  if (!this->isLimiting) {
+    return;
+  }
+  this->isLimiting = false;
+  this->reportChanges({}, now);
+  this->board.slowStart = SlowStartLimiter{};
+}
+
 std::vector<TargetSlot>
 SlowStartController::findLimited(MilliTime now) const
 {
--- a/buckthornwing/src/Steering/SlowStartController.h
+++ b/buckthornwing/src/Steering/SlowStartController.h
@@ -25,7 +25,10 @@
 private:
   TagBlackboard& board;
   std::map<TargetKey, std::string> limited; ///< ids of the limited targets
+  bool isLimiting = false; ///< a service had a rate at the last tick
 
+  /// \brief Ends all limits, because no service has a rate.
+  void endLimits(MilliTime now);
   std::vector<TargetSlot> findLimited(MilliTime now) const;
   /// \returns the requests a second that a target bears while it is cold, the
   /// least one of its services; 0 if none of them limits it.
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -6,7 +6,6 @@
 /// \brief Ignored keys that are remembered, so that each is logged once. No
 /// further ones are logged.
 constexpr std::size_t kMaxIgnoredKeys = 100;
-constexpr std::size_t kMaxLoggedKeyBytes = 100;
 
 std::vector<std::string>
 namesOf(std::span<const Evacuation> evacuations)
@@ -212,11 +211,7 @@
   }
   ++this->board.counters.ignoredEntries;
   this->board.events.push_back(
-    { TagEventKind::entryIgnored,
-      std::string(key.substr(0, internal::kMaxLoggedKeyBytes)),
-      0,
-      0,
-      "names no zone" });
+    { TagEventKind::entryIgnored, std::string(key), 0, 0, "names no zone" });
 }
 
 void
--- a/buckthornwing/src/View/Route.h
+++ b/buckthornwing/src/View/Route.h
@@ -32,6 +32,17 @@
 using ServiceSlot = std::uint32_t;
 inline constexpr ServiceSlot kNoServiceSlot = 0xffffffff;
 
+/// \returns a rate at which a cold target bears requests, as published; 0, not
+/// limited, if it is not a plausible one.
+constexpr double
+plausibleWarmupRate(double requestsPerSecond)
+{
+  constexpr double kMaxRequestsPerSecond = 1'000'000;
+  const bool isPlausible =
+    requestsPerSecond > 0 && requestsPerSecond <= kMaxRequestsPerSecond;
+  return isPlausible ? requestsPerSecond : 0;
+}
+
 /// \brief A service and the selector of its targets.
 struct SelectedService
 {
