Reports show refusals by priority, and what excludes or refuses

Callers see nothing; operators could not tell from /metrics and /status which priorities an overload reached, nor from /explain why a target got no flow.

/metrics has overload_refusals_total{priority}, /status overload_refusals. /explain has the evacuated zones, the service's queued rounds and the route's refusal probability, and for each candidate relative_service_time, warm_in_ms while it is cold and the reason that excludes it. bwctl explain prints them. Weighed: computing the queue anew in the report; the decision uses that of the last tick, so the report shows that one.

--- a/buckthornwing/src/Io/OpeningReport.cpp
+++ b/buckthornwing/src/Io/OpeningReport.cpp
@@ -1,7 +1,9 @@
 #include "OpeningReport.h"
 
 #include "../Steering/PlacementPolicy.h"
+#include "../Steering/TargetEligibility.h"
 #include "Error.h"
+#include "ReportFields.h"
 
 #include <boost/json.hpp>
 #include <boost/leaf.hpp>
@@ -21,39 +23,67 @@
   return *endpoint;
 }
 
-boost::json::value
-ageInMs(MilliTime confirmedAt, MilliTime now)
+/// \returns what decides whether a target gets a new flow of a service.
+boost::json::object
+describeCandidate(const TagBlackboard& board,
+                  ServiceSlot service,
+                  TargetSlot slot,
+                  MilliTime now)
 {
-  const auto age = viewAge(confirmedAt, now);
-  return age ? boost::json::value(age->ms) : boost::json::value(nullptr);
+  const KnownTarget& target = board.registry.at(slot);
+  const TargetRecord& record = target.record;
+  const EstimatedLoad load = estimateLoad(board, slot);
+  boost::json::object fields{
+    { "id", record.id },
+    { "zone", record.zone },
+    { "own_zone", record.zone == board.settings.zone },
+    { "slots", record.slots },
+    { "flows", load.flows },
+    { "busy", load.busy },
+    { "placement_load", placementLoad(board, slot) },
+    { "queued_rounds", queuedRounds(board, slot) },
+    { "relative_service_time", board.observer.load(slot).relativeServiceTime },
+    { "avoided", board.isAvoided(slot, now) },
+    { "dead", board.healthState(slot) == HealthState::dead }
+  };
+  if (target.isCold(now)) {
+    fields["warm_in_ms"] = target.remainingWarmup(now).ms;
+  }
+  if (const auto reason = reasonAgainst(board, service, slot, now)) {
+    fields["excluded"] = steeringReasonName(*reason);
+  }
+  return fields;
 }
 
-/// \returns what decides whether a target gets a new flow.
+/// \returns what decides whether a new flow is refused by priority.
+/// \param target the target that placement chose
 boost::json::object
-describeCandidate(const TagBlackboard& board, TargetSlot slot, MilliTime now)
+describeAdmission(const AdmissionController& admission,
+                  const Route& route,
+                  ServiceSlot service,
+                  TargetSlot target)
 {
-  const TargetRecord& record = board.registry.at(slot).record;
-  const EstimatedLoad load = estimateLoad(board, slot);
-  return { { "id", record.id },
-           { "zone", record.zone },
-           { "own_zone", record.zone == board.settings.zone },
-           { "slots", record.slots },
-           { "flows", load.flows },
-           { "busy", load.busy },
-           { "placement_load", placementLoad(board, slot) },
-           { "queued_rounds", queuedRounds(board, slot) },
-           { "avoided", board.isAvoided(slot, now) },
-           { "dead", board.healthState(slot) == HealthState::dead } };
+  boost::json::object fields;
+  const auto rounds = admission.queuedRounds(service);
+  fields["queued_rounds"] =
+    rounds ? boost::json::value(*rounds) : boost::json::value(nullptr);
+  if (target != kNoTargetSlot) {
+    fields["refusal_probability"] =
+      admission.refusalProbability(route, service, target);
+  }
+  return fields;
 }
 
 /// \brief Writes the route, the service and its candidates.
 void
-describeRoute(const TagBlackboard& board,
-              const Route& route,
+describeRoute(const TagEngine& engine,
+              const SteeringDecision& decision,
               const FlowKey& flow,
               MilliTime now,
               boost::json::object& report)
 {
+  const TagBlackboard& board = engine.board();
+  const Route& route = *decision.route;
   report["route"] = route.name;
   report["priority"] = route.priority;
   const FlowId id = flowIdOf(flow, board.settings.tagSecret);
@@ -62,9 +92,11 @@
     return;
   }
   report["service"] = board.routes.routes().services[service].name;
+  report["admission"] = describeAdmission(
+    engine.admissionControl(), route, service, decision.target);
   boost::json::array candidates;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
-    candidates.push_back(describeCandidate(board, slot, now));
+    candidates.push_back(describeCandidate(board, service, slot, now));
   }
   report["candidates"] = std::move(candidates);
 }
@@ -96,11 +128,12 @@
     report["target"] = board.registry.at(decision.target).record.id;
   }
   report["targets_revision"] = board.registry.position().revision;
-  report["targets_age_ms"] = internal::ageInMs(board.targetsConfirmedAt, now);
+  report["targets_age_ms"] = internal::ageOrNull(board.targetsConfirmedAt, now);
   report["routes_version"] = board.routes.version();
-  report["routes_age_ms"] = internal::ageInMs(board.routesConfirmedAt, now);
+  report["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
+  report["evacuated_zones"] = internal::evacuatedZones(board);
   if (decision.route != nullptr) {
-    internal::describeRoute(board, *decision.route, flow, now, report);
+    internal::describeRoute(engine, decision, flow, now, report);
   }
   return boost::json::serialize(report);
 }
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -3,10 +3,12 @@
 #include "../Fleet/CapacityClass.h"
 #include "../Peer/PeerSeal.h"
 #include "MetricsWriter.h"
+#include "ReportFields.h"
 
 #include <algorithm>
 #include <boost/json.hpp>
 #include <span>
+#include <string>
 
 namespace buckthornwing {
 namespace internal {
@@ -48,6 +50,20 @@
     writer);
 }
 
+/// \brief Writes one sample for each priority of which flows were refused.
+void
+writeOverloadRefusals(const TagCounters& counters, MetricsWriter& writer)
+{
+  constexpr const char* kMetric = "overload_refusals_total";
+  writer.family(kMetric,
+                "counter",
+                "Flows refused while their service was overloaded, by priority "
+                "of the route");
+  for (const auto& [priority, count] : counters.refusedByPriority) {
+    writer.sample(kMetric, count, label("priority", std::to_string(priority)));
+  }
+}
+
 void
 writeHost(const TagHostCounters& host, MetricsWriter& writer)
 {
@@ -128,12 +144,15 @@
     }));
 }
 
-/// \returns the age of a view in milliseconds; null if it was never confirmed.
-boost::json::value
-ageOrNull(MilliTime confirmedAt, MilliTime now)
+/// \returns the flows refused during overloads, with their priorities as keys.
+boost::json::object
+refusalsByPriority(const TagCounters& counters)
 {
-  const auto age = viewAge(confirmedAt, now);
-  return age ? boost::json::value(age->ms) : boost::json::value(nullptr);
+  boost::json::object refusals;
+  for (const auto& [priority, count] : counters.refusedByPriority) {
+    refusals[std::to_string(priority)] = count;
+  }
+  return refusals;
 }
 
 }
@@ -145,6 +164,7 @@
 {
   internal::MetricsWriter writer;
   internal::writeDecisions(board.counters, writer);
+  internal::writeOverloadRefusals(board.counters, writer);
   internal::writeHost(host, writer);
   writer.histogram("service_seconds",
                    "From a request to the first sign of its answer",
@@ -228,11 +248,7 @@
   status["stopping"] = board.stopping;
   status["routes_version"] = board.routes.version();
   status["routes_age_ms"] = internal::ageOrNull(board.routesConfirmedAt, now);
-  boost::json::array evacuated;
-  for (const std::string& zone : board.pools.zonesEvacuated()) {
-    evacuated.emplace_back(zone);
-  }
-  status["evacuated_zones"] = std::move(evacuated);
+  status["evacuated_zones"] = internal::evacuatedZones(board);
   status["targets_revision"] = board.registry.position().revision;
   status["targets_era"] = board.registry.position().era;
   status["store_era"] = board.storeEra ? boost::json::value(*board.storeEra)
@@ -245,6 +261,7 @@
     outcomes[steeringOutcomeName(outcome)] = board.counters.outcomes[i];
   }
   status["outcomes"] = std::move(outcomes);
+  status["overload_refusals"] = internal::refusalsByPriority(board.counters);
   status["packets"] = host.packets;
   status["store_calls"] = host.storeCalls;
   boost::json::array targets;
--- a/buckthornwing/src/Steering/AdmissionController.cpp
+++ b/buckthornwing/src/Steering/AdmissionController.cpp
@@ -113,14 +113,30 @@
            medianServiceMs(times) };
 }
 
+bool
+AdmissionController::isActive(ServiceSlot service) const
+{
+  return service < this->services.size() &&
+         this->services[service].hasPriorities;
+}
+
+std::optional<double>
+AdmissionController::queuedRounds(ServiceSlot service) const
+{
+  if (!this->isActive(service)) {
+    return std::nullopt;
+  }
+  return this->services[service].queue.rounds;
+}
+
 double
 AdmissionController::refusalProbability(const Route& route,
                                         ServiceSlot service,
                                         TargetSlot target) const
 {
-  const bool isActive =
-    service < this->services.size() && this->services[service].hasPriorities;
-  if (!isActive || queuedRounds(this->board, target) == 0) {
+  const bool hasQueue = this->isActive(service) &&
+                        buckthornwing::queuedRounds(this->board, target) > 0;
+  if (!hasQueue) {
     return 0;
   }
   const ServiceState& state = this->services[service];
@@ -163,9 +179,7 @@
                             bool isRefused,
                             MilliTime now)
 {
-  const bool isActive =
-    service < this->services.size() && this->services[service].hasPriorities;
-  if (!isActive) {
+  if (!this->isActive(service)) {
     return;
   }
   ServiceState& state = this->services[service];
--- a/buckthornwing/src/Steering/AdmissionController.h
+++ b/buckthornwing/src/Steering/AdmissionController.h
@@ -5,6 +5,7 @@
 #include "../Admission/PriorityDemand.h"
 #include "TagBlackboard.h"
 
+#include <optional>
 #include <vector>
 
 namespace buckthornwing {
@@ -36,6 +37,10 @@
                TargetSlot target,
                FlowId flow) const;
 
+  /// \returns the rounds of queued requests that a new flow of a service meets,
+  /// as of the last tick; nothing if the service's routes have one priority.
+  std::optional<double> queuedRounds(ServiceSlot service) const;
+
   /// \brief Records a new flow and whether it was refused.
   void record(const Route& route,
               ServiceSlot service,
@@ -58,6 +63,8 @@
   std::vector<ServiceState> services; ///< indexed by ServiceSlot
   std::uint64_t routesVersion = 0;    ///< that \a services belong to
 
+  /// \returns whether new flows of a service may be refused.
+  bool isActive(ServiceSlot service) const;
   void onNewRoutes();
   ServiceQueue queueOf(ServiceSlot service, MilliTime now) const;
   void reportEnd(ServiceSlot service, MilliTime now);
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -119,6 +119,10 @@
   {
     return this->steering.needsTargetListing(now);
   }
+  const AdmissionController& admissionControl() const
+  {
+    return this->admission;
+  }
   const FleetMembers& members() const { return this->fleet.fleet(); }
 
   /// \returns the events to log since the last call.
--- a/bwctl/ExplainCommand.cpp
+++ b/bwctl/ExplainCommand.cpp
@@ -48,7 +48,9 @@
                   "targets_revision",
                   "targets_age_ms",
                   "routes_version",
-                  "routes_age_ms" });
+                  "routes_age_ms",
+                  "evacuated_zones",
+                  "admission" });
     printRows(report.get_object(), "candidates");
   }
   const bool isForwarded = report.get_object().contains("outcome") &&
--- a/test/tag/report.cpp
+++ b/test/tag/report.cpp
@@ -49,6 +49,28 @@
             std::string::npos);
 }
 
+/// Operators watch which priorities an overload reaches.
+Test(report, refusals_during_an_overload_are_shown_by_priority)
+{
+  TagBlackboard board(EngineFixture::settings({}, "entry-1", 1));
+  const MilliTime now{ 100000 };
+  cr_assert_eq(formatTagMetrics(board, {}, now).find("priority="),
+               std::string::npos);
+  cr_assert_neq(
+    formatTagStatus(board, {}, now).find("\"overload_refusals\":{}"),
+    std::string::npos);
+  board.counters.refusedByPriority = { { 1, 3 }, { 2, 40 } };
+  const std::string metrics = formatTagMetrics(board, {}, now);
+  cr_assert_neq(
+    metrics.find("# TYPE buckthornwing_overload_refusals_total counter\n"
+                 "buckthornwing_overload_refusals_total{priority=\"1\"} 3\n"
+                 "buckthornwing_overload_refusals_total{priority=\"2\"} 40\n"),
+    std::string::npos);
+  cr_assert_neq(formatTagStatus(board, {}, now)
+                  .find("\"overload_refusals\":{\"1\":3,\"2\":40}"),
+                std::string::npos);
+}
+
 Test(report, service_times_are_a_cumulative_histogram)
 {
   EngineFixture world;
