--- a/test/tag/evacuations.cpp
+++ b/test/tag/evacuations.cpp
@@ -312,6 +312,22 @@
   cr_assert(seen == expected);
 }
 
+/// A key of another writer, whose 100th byte is amid a character: the log line
+/// must stay valid UTF-8.
+Test(evacuations, an_ignored_key_is_logged_whole)
+{
+  EngineFixture world;
+  world.engine.takeEvents();
+  std::string key = "op/evacuate/";
+  for (int i = 0; i < 62; ++i) {
+    key += "\u4e2d";
+  }
+  world.engine.onIgnoredEntry(key);
+  const std::vector<TagEvent> events = world.engine.takeEvents();
+  cr_assert_eq(events.size(), 1);
+  cr_assert_eq(events[0].subject, key);
+}
+
 /// Guards against probes of targets that no flow of this instance needs.
 Test(evacuations, suspected_targets_without_flows_are_not_probed)
 {
--- a/test/tag/fleet_codec.cpp
+++ b/test/tag/fleet_codec.cpp
@@ -10,6 +10,7 @@
 #include <rapidcheck.h>
 
 #include <deque>
+#include <limits>
 
 using namespace buckthornwing;
 using namespace buckthornwing::literals;
@@ -54,6 +55,32 @@
   cr_assert_eq(decoded->view.routesAge.ms, 34);
 }
 
+/// Answers a peer of another version that sends any rate for cold targets.
+Test(fleet_codec, an_implausible_rate_of_cold_targets_is_not_taken_over)
+{
+  const auto rateAfterCoding = [](double rate) {
+    RouteTable table = twoRoutes(3);
+    table.services[0].warmupRate = rate;
+    RouteIndex index;
+    index.apply(table);
+    ViewUpdate update;
+    update.routes = index.changesSince(0);
+    const std::string bytes = encodeViewUpdate(update);
+    const auto decoded = decodeViewUpdate(
+      { reinterpret_cast<const std::uint8_t*>(bytes.data()), bytes.size() });
+    cr_assert(decoded.has_value());
+    return decoded->routes->services[0].warmupRate;
+  };
+  cr_assert_eq(rateAfterCoding(0.5), 0.5);
+  cr_assert_eq(rateAfterCoding(1e6), 1e6);
+  for (const double odd : { -1.0,
+                            1e6 + 1,
+                            std::numeric_limits<double>::infinity(),
+                            std::numeric_limits<double>::quiet_NaN() }) {
+    cr_assert_eq(rateAfterCoding(odd), 0);
+  }
+}
+
 namespace {
 
 const Endpoint kSender = *parseEndpoint("127.0.0.1:7");
