Admission: other zones' free slots, old views, moved services, pressing again

Another zone with free slots now counts as room: before, its queue counted one round, which could refuse less urgent flows. An opening that an old view drops was counted as a refusal at each copy. State of a service stays with its name when a configuration moves it to another slot; before, its overload and queue went to another service. Repeated openings of refused callers no longer hide a more urgent priority by their share of the demand: it is compared with the flows admitted. Objectives are computed once a configuration, not for each opening.

--- a/buckthornwing/src/Admission/AdmissionPolicy.cpp
+++ b/buckthornwing/src/Admission/AdmissionPolicy.cpp
@@ -41,8 +41,8 @@
 double
 refusalProbability(const AdmissionRequest& request, const ServiceQueue& queue)
 {
-  if (queue.rounds <= 0) {
-    return 0;
+  if (!(queue.rounds > 0)) {
+    return 0; // also if it is not a number
   }
   const double limit = admissionLimit(request, queue);
   if (queue.rounds >= limit) {
--- a/buckthornwing/src/Admission/PriorityDemand.h
+++ b/buckthornwing/src/Admission/PriorityDemand.h
@@ -15,15 +15,17 @@
 {
 public:
   /// \brief Counts a new flow that a caller asked for.
-  void add(std::uint32_t priority, MilliTime now);
+  void add(std::uint32_t priority, bool isAdmitted, MilliTime now);
 
   /// \returns the number of priorities above the given one that callers ask
-  /// for. One with a small share of the demand is not counted: no room need be
-  /// kept for it.
+  /// for. One that asks for few flows, compared with those admitted of all
+  /// priorities, is not counted: no room need be kept for it. Refused flows are
+  /// no measure, because callers repeat them.
   std::size_t countMoreUrgent(std::uint32_t priority) const;
 
 private:
   std::map<std::uint32_t, double> weights; ///< most urgent first
+  double admitted = 0; ///< weight of the flows that were admitted
   MilliTime decayedAt{};
 
   void decay(MilliTime now);
--- a/buckthornwing/src/Steering/AdmissionController.cpp
+++ b/buckthornwing/src/Steering/AdmissionController.cpp
@@ -11,8 +11,8 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Rounds by which the queue in another zone must be shorter to count:
-/// the round trip between zones takes about as long as one request.
+/// \brief Rounds by which a queue in another zone must be shorter to count: the
+/// round trip between zones takes about as long as one request.
 constexpr double kCrossingRounds = 1;
 /// \brief Time without a refusal after which an overload has ended.
 constexpr MilliDuration kOverloadEnd{ 2000 };
@@ -49,9 +49,36 @@
   if (!own) {
     return other.value_or(0);
   }
-  return other ? std::min(*own, *other + kCrossingRounds) : *own;
+  if (!other) {
+    return *own;
+  }
+  // Free slots count without that: nothing is refused while there is room.
+  return *other > 0 ? std::min(*own, *other + kCrossingRounds) : 0;
+}
+
 }
 
+void
+AdmissionController::ServiceState::addRoute(const Route& route)
+{
+  std::optional<MilliDuration>& least = this->objectives[route.priority];
+  const bool hasObjective = route.latencyObjective.ms > 0;
+  if (hasObjective && (!least || route.latencyObjective < *least)) {
+    least = route.latencyObjective;
+  }
+}
+
+std::optional<MilliDuration>
+AdmissionController::ServiceState::objectiveAbove(std::uint32_t priority) const
+{
+  std::optional<MilliDuration> least;
+  for (const auto& [each, objective] : this->objectives) {
+    const bool isMoreUrgent = each < priority;
+    if (isMoreUrgent && objective && (!least || *objective < *least)) {
+      least = objective;
+    }
+  }
+  return least;
 }
 
 void
@@ -59,17 +86,27 @@
 {
   const RouteTable& table = this->board.routes.routes();
   this->routesVersion = table.version;
-  this->services.resize(table.services.size());
-  std::vector<std::optional<std::uint32_t>> priorities(table.services.size());
+  // A service may have another slot than before.
+  std::map<std::string, ServiceState> known;
   for (ServiceState& state : this->services) {
-    state.hasPriorities = false;
+    state.objectives.clear();
+    known.insert_or_assign(state.name, std::move(state));
+  }
+  this->services.clear();
+  for (const SelectedService& service : table.services) {
+    auto state = known.extract(service.name);
+    this->services.push_back(state.empty() ? ServiceState{}
+                                           : std::move(state.mapped()));
+    this->services.back().name = service.name;
+  }
+  for (auto& [name, removed] : known) {
+    this->reportEnd(removed);
   }
   for (const Route& route : table.routes) {
     for (const WeightedService& share : route.services) {
-      std::optional<std::uint32_t>& first = priorities[share.service];
-      const bool differs = first && *first != route.priority;
-      this->services[share.service].hasPriorities |= differs;
-      first = first.value_or(route.priority);
+      if (share.weight > 0) {
+        this->services[share.service].addRoute(route);
+      }
     }
   }
 }
@@ -84,13 +121,25 @@
     this->onNewRoutes();
   }
   for (ServiceSlot service = 0; service < this->services.size(); ++service) {
-    if (this->services[service].hasPriorities) {
-      this->services[service].queue = this->queueOf(service, now);
+    ServiceState& state = this->services[service];
+    if (state.hasPriorities()) {
+      state.queue = this->queueOf(service, now);
+    }
+    if (now - state.refusedAt >= internal::kOverloadEnd) {
+      this->reportEnd(state);
     }
-    this->reportEnd(service, now);
   }
 }
 
+const AdmissionController::ServiceState*
+AdmissionController::find(ServiceSlot service) const
+{
+  const bool isKnown = this->routesVersion == this->board.routes.version() &&
+                       service < this->services.size() &&
+                       this->services[service].hasPriorities();
+  return isKnown ? &this->services[service] : nullptr;
+}
+
 ServiceQueue
 AdmissionController::queueOf(ServiceSlot service, MilliTime now) const
 {
@@ -118,31 +167,17 @@
                                         ServiceSlot service,
                                         TargetSlot target) const
 {
-  const bool isActive =
-    service < this->services.size() && this->services[service].hasPriorities;
-  if (!isActive || queuedRounds(this->board, target) == 0) {
+  const ServiceState* state = this->find(service);
+  if (state == nullptr || queuedRounds(this->board, target) == 0) {
     return 0;
   }
-  const ServiceState& state = this->services[service];
   AdmissionRequest request;
   if (route.timeout.ms > 0) {
     request.timeout = route.timeout;
   }
-  request.moreUrgent = state.demand.countMoreUrgent(route.priority);
-  for (const Route& other : this->board.routes.routes().routes) {
-    const bool competes = other.priority < route.priority &&
-                          other.latencyObjective.ms > 0 &&
-                          std::any_of(other.services.begin(),
-                                      other.services.end(),
-                                      [service](const WeightedService& share) {
-                                        return share.service == service;
-                                      });
-    if (competes && (!request.urgentObjective ||
-                     other.latencyObjective < *request.urgentObjective)) {
-      request.urgentObjective = other.latencyObjective;
-    }
-  }
-  return buckthornwing::refusalProbability(request, state.queue);
+  request.moreUrgent = state->demand.countMoreUrgent(route.priority);
+  request.urgentObjective = state->objectiveAbove(route.priority);
+  return buckthornwing::refusalProbability(request, state->queue);
 }
 
 bool
@@ -163,13 +198,11 @@
                             bool isRefused,
                             MilliTime now)
 {
-  const bool isActive =
-    service < this->services.size() && this->services[service].hasPriorities;
-  if (!isActive) {
+  if (this->find(service) == nullptr) {
     return;
   }
   ServiceState& state = this->services[service];
-  state.demand.add(route.priority, now);
+  state.demand.add(route.priority, !isRefused, now);
   if (!isRefused) {
     return;
   }
@@ -180,7 +213,7 @@
     state.isOverloaded = true;
     this->board.events.push_back(
       { TagEventKind::overloadBegan,
-        this->board.routes.routes().services[service].name,
+        state.name,
         0,
         0,
         "priority " + std::to_string(route.priority) + ", " +
@@ -189,15 +222,14 @@
 }
 
 void
-AdmissionController::reportEnd(ServiceSlot service, MilliTime now)
+AdmissionController::reportEnd(ServiceState& state)
 {
-  ServiceState& state = this->services[service];
-  if (!state.isOverloaded || now - state.refusedAt < internal::kOverloadEnd) {
+  if (!state.isOverloaded) {
     return;
   }
   this->board.events.push_back(
     { TagEventKind::overloadEnded,
-      this->board.routes.routes().services[service].name,
+      state.name,
       0,
       0,
       std::to_string(state.refused) + " flows refused" });
--- a/buckthornwing/src/Steering/AdmissionController.h
+++ b/buckthornwing/src/Steering/AdmissionController.h
@@ -5,6 +5,9 @@
 #include "../Admission/PriorityDemand.h"
 #include "TagBlackboard.h"
 
+#include <map>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace buckthornwing {
@@ -46,21 +49,31 @@
   /// \brief What is known of a service.
   struct ServiceState
   {
-    bool hasPriorities = false; ///< its routes have several
+    std::string name;
+    /// Least latency objective of its routes, if any, by their priority.
+    std::map<std::uint32_t, std::optional<MilliDuration>> objectives;
     ServiceQueue queue;
     PriorityDemand demand;
     std::uint64_t refused = 0; ///< since the overload began
     MilliTime refusedAt{};     ///< last refusal
     bool isOverloaded = false;
+
+    bool hasPriorities() const { return this->objectives.size() > 1; }
+    void addRoute(const Route& route);
+    /// \returns the least objective of the routes that are more urgent.
+    std::optional<MilliDuration> objectiveAbove(std::uint32_t priority) const;
   };
 
   TagBlackboard& board;
-  std::vector<ServiceState> services; ///< indexed by ServiceSlot
-  std::uint64_t routesVersion = 0;    ///< that \a services belong to
+  std::vector<ServiceState> services;         ///< indexed by ServiceSlot
+  std::optional<std::uint64_t> routesVersion; ///< that \a services belong to
 
   void onNewRoutes();
+  /// \returns the state of a service whose routes have several priorities;
+  /// otherwise, and until the next tick after a change of the routes, null.
+  const ServiceState* find(ServiceSlot service) const;
   ServiceQueue queueOf(ServiceSlot service, MilliTime now) const;
-  void reportEnd(ServiceSlot service, MilliTime now);
+  void reportEnd(ServiceState& state);
 };
 
 }
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -218,9 +218,12 @@
     this->board.slowStart.recordRequest(
       this->board.registry.at(decision.target).key, now);
   }
-  if (isPlaced || decision.reason == SteeringReason::overloaded) {
+  // An opening that is dropped because the view is old is decided again.
+  const bool isRefused = decision.reason == SteeringReason::overloaded &&
+                         decision.outcome == SteeringOutcome::reset;
+  if (isPlaced || isRefused) {
     this->admission.record(
-      *decision.route, chooseService(*decision.route, id), !isPlaced, now);
+      *decision.route, chooseService(*decision.route, id), isRefused, now);
   }
 }
 
