--- a/test/tag/LoadPattern.h
+++ b/test/tag/LoadPattern.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace buckthornwing::test {
@@ -52,10 +53,33 @@
   MilliDuration wavePeriod{ 0 };   ///< of each zone's demand, in shifted phase;
                                    ///< 0 for constant demand
   double firstZoneDemand = 1;      ///< of the first zone's callers, by others'
-  double messageLoss = 0;          ///< probability that a heartbeat is lost
+  /// Share of the callers whose route has priority 1; the others' route to the
+  /// same service has priority 2. Nothing for one route without a priority.
+  std::optional<double> urgentShare;
+  std::size_t burstCallers = 0; ///< more callers during the burst
+  double burstUrgentShare = 0;  ///< of the callers of the burst
+  MilliDuration burstAt{ 0 };
+  MilliDuration burstLength{ 0 };
+  double crashedShare = 0;        ///< of the targets, at the burst's start
+  std::size_t evacuatedZones = 0; ///< first zones, from the start on
+  double messageLoss = 0;         ///< probability that a heartbeat is lost
   std::uint64_t seed = 1;
 };
 
+/// \brief Requests of one priority that callers started during the burst.
+struct BurstRequests
+{
+  int requests = 0;
+  int inTime = 0; ///< of \a requests, answered within the objective
+
+  double inTimeShare() const
+  {
+    return this->requests == 0 ? 1.0
+                               : static_cast<double>(this->inTime) /
+                                   static_cast<double>(this->requests);
+  }
+};
+
 /// \brief Outcome of the requests of a replay.
 struct LoadResult
 {
@@ -75,6 +99,9 @@
   /// Requests per slot in the zone with the most divided by those in the zone
   /// with the fewest, sampled for 1.5 s after the outage.
   double zoneImbalance = 0;
+  int refusedOpenings = 0; ///< resets because of an overload
+  BurstRequests urgent;    ///< of priority 1
+  BurstRequests lessUrgent;
   QueueMeter queues;
 };
 
--- a/test/tag/ReplayCaller.h
+++ b/test/tag/ReplayCaller.h
@@ -23,6 +23,8 @@
   bool hasRequest = false;   ///< a request is neither answered nor failed
   int refusals = 0;          ///< of the current request
   std::size_t zone = 0;
+  bool isUrgent = true;         ///< its route has priority 1
+  bool isOfBurst = false;       ///< asks during the burst only
   bool opensPerRequest = false; ///< opens a new flow for each request
 };
 
