--- a/buckthornwing/src/Admission/AdmissionPolicy.cpp
+++ b/buckthornwing/src/Admission/AdmissionPolicy.cpp
@@ -11,7 +11,7 @@
 constexpr double kMaxRounds = 3;
 /// \brief Part of the queue of a more urgent priority that the next one may
 /// fill.
-constexpr double kLessUrgentShare = 0.25;
+constexpr double kLessUrgentShare = 0.5;
 /// \brief Part of the more urgent routes' latency objective that may be spent
 /// on waiting for less urgent requests.
 constexpr double kObjectiveShare = 0.25;
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -450,7 +450,8 @@
   active.isOwnActive = !this->self.stopping;
   for (const auto& [address, known] : this->members) {
     if (this->isActive(known, now)) {
-      active.peers.push_back({ known.order.hash, zoneKeyOf(known.member.zone) });
+      active.peers.push_back(
+        { known.order.hash, zoneKeyOf(known.member.zone) });
     }
   }
   std::sort(active.peers.begin(), active.peers.end());
--- a/buckthornwing/src/Steering/AdmissionController.cpp
+++ b/buckthornwing/src/Steering/AdmissionController.cpp
@@ -151,7 +151,6 @@
 {
   ServiceState& state = this->services[service];
   state.queue = this->queueOf(service, now);
-  state.queue.rounds = state.filter.update(state.queue.rounds, now);
   if (now - this->startedAt < internal::kTimeToKnowLoads) {
     state.queue.rounds = 0;
   }
--- a/buckthornwing/src/Steering/AdmissionController.h
+++ b/buckthornwing/src/Steering/AdmissionController.h
@@ -3,7 +3,6 @@
 
 #include "../Admission/AdmissionPolicy.h"
 #include "../Admission/PriorityDemand.h"
-#include "../Admission/QueueFilter.h"
 #include "TagBlackboard.h"
 
 #include <map>
@@ -58,7 +57,6 @@
     /// Least latency objective of its routes, if any, by their priority.
     std::map<std::uint32_t, std::optional<MilliDuration>> objectives;
     ServiceQueue queue;
-    QueueFilter filter;
     PriorityDemand demand;
     std::uint64_t refused = 0; ///< since the overload began
     MilliTime refusedAt{};     ///< last refusal
