--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -126,8 +126,9 @@
 {
   const MilliDuration took = now - flow.busySince;
   if (flow.foundFreeSlot && took > flow.roundTrip) {
+    const MilliDuration served{ took.ms - flow.roundTrip.ms };
     this->mutableLoad(flow.target)
-      .serviceTime.add(MilliDuration{ took.ms - flow.roundTrip.ms }, now);
+      .serviceTime.add(this->kindTimes.toAverage(flow.kind, served), now);
   }
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -3,6 +3,7 @@
 
 #include "../Tagging/CallerPacket.h"
 #include "LatencyHistogram.h"
+#include "RequestKindTimes.h"
 #include "TargetLoad.h"
 #include "TrackedFlow.h"
 
@@ -87,6 +88,7 @@
   TrackedFlows flows;
   std::vector<TargetLoad> loads;
   LatencyHistogram serviceTimeHistogram;
+  RequestKindTimes kindTimes;
   MilliTime firstPacketAt{};
 
   Observation observe(TrackedFlow& flow,
--- a/test/tag/target_speeds.cpp
+++ b/test/tag/target_speeds.cpp
@@ -63,6 +63,42 @@
   }
 }
 
+/// Equal targets of a service with short and long requests, of which each
+/// target runs another mix.
+Test(target_speeds, a_mix_of_short_and_long_requests_is_no_speed)
+{
+  RequestKindTimes times;
+  std::array<ServiceTimeEstimator, 3> targets;
+  MilliTime now = kStart;
+  for (int i = 0; i < 600; ++i) {
+    const std::size_t target = static_cast<std::size_t>(i) % 3;
+    const bool isLong = i / 3 % 4 < static_cast<int>(target);
+    const MilliDuration average =
+      isLong ? times.toAverage(RouteKind::idempotent, 55_ms)
+             : times.toAverage(RouteKind::download, 5_ms);
+    targets[target].add(average, now);
+    now = now + 100_ms;
+  }
+  std::array<ServiceTimeEstimate, 3> estimates;
+  for (std::size_t i = 0; i < targets.size(); ++i) {
+    estimates[i] = targets[i].estimate(now);
+  }
+  for (const ServiceTimeEstimate& estimate : estimates) {
+    cr_assert_eq(relativeServiceTime(estimate, medianServiceMs(estimates), 1),
+                 1);
+  }
+}
+
+/// Requests of one kind only.
+Test(target_speeds, times_of_one_kind_stay_as_they_are)
+{
+  RequestKindTimes times;
+  for (const std::int64_t ms : { 50, 350, 20, 51 }) {
+    const MilliDuration took{ ms };
+    cr_assert(times.toAverage(RouteKind::nonIdempotent, took) == took);
+  }
+}
+
 Test(target_speeds, evidence_decreases_with_time)
 {
   ServiceTimeEstimator estimator;
