Readability: one type per file, stale comments and unclear names; no change of behaviour

ZoneRooms.h is ZoneRoom.h, after its type. - The draw by a flow's hash stood in two places: sampleOf() in Steering/FlowSample.h. - LeastLoadPlacement::choose(), formatTagStatus() and explainAtInstance() were long: PlacementOptions, describeTarget() and printText() hold their parts. - FleetMember::hasView left out the evacuations; private members of LoadReports, FlowObserver, FleetMessenger and AdmissionController had no comment.

--- a/buckthornwing/src/Admission/AdmissionPolicy.cpp
+++ b/buckthornwing/src/Admission/AdmissionPolicy.cpp
@@ -7,11 +7,10 @@
 namespace internal {
 
 /// \brief Rounds from which on targets are expected to turn requests away: they
-/// queue a few only, and what they turn away has waited for nothing.
+/// queue only a few, and a request that they turn away has waited in vain.
 constexpr double kMaxRounds = 3;
-/// \brief Part of the queue of a more urgent priority that the next one may
-/// fill.
-constexpr double kLessUrgentShare = 0.5;
+/// \brief Limit of a priority relative to that of the next more urgent one.
+constexpr double kLimitPerPriority = 0.5;
 /// \brief Part of the more urgent routes' latency objective that may be spent
 /// on waiting for less urgent requests.
 constexpr double kObjectiveShare = 0.25;
@@ -24,12 +23,13 @@
 admissionLimit(const AdmissionRequest& request, const ServiceQueue& queue)
 {
   double limit =
-    internal::kMaxRounds * std::pow(internal::kLessUrgentShare,
+    internal::kMaxRounds * std::pow(internal::kLimitPerPriority,
                                     static_cast<double>(request.moreUrgent));
   if (!queue.roundMs || *queue.roundMs <= 0) {
     return limit;
   }
   if (request.timeout) {
+    // One round is left for serving the request itself.
     const auto timeout = static_cast<double>(request.timeout->ms);
     limit = std::min(limit, timeout / *queue.roundMs - 1);
   }
@@ -45,7 +45,7 @@
 refusalProbability(const AdmissionRequest& request, const ServiceQueue& queue)
 {
   if (!(queue.rounds > 0)) {
-    return 0; // also if it is not a number
+    return 0; // also if rounds is NaN
   }
   const double limit = admissionLimit(request, queue);
   if (queue.rounds >= limit) {
--- a/buckthornwing/src/Fleet/CapacityClass.cpp
+++ b/buckthornwing/src/Fleet/CapacityClass.cpp
@@ -8,7 +8,8 @@
 /// \brief Upper limits of the first class. They lie between usual sizes of
 /// instances, so that two of about the same size are rarely told apart.
 constexpr double kSmallLinkMegabits = 16;
-constexpr double kSmallCpuShare = 0.16;
+constexpr double kSmallCpuShare = 0.16; // of a core
+/// \brief Ratio of the limits of two successive classes.
 constexpr double kClassFactor = 4;
 constexpr std::uint8_t kMaxCapacityClass = 8;
 
--- a/buckthornwing/src/Fleet/FleetCodec.cpp
+++ b/buckthornwing/src/Fleet/FleetCodec.cpp
@@ -48,6 +48,7 @@
 }
 
 constexpr double kTenthsPerMs = 10;
+/// \brief Highest service time in ms that is sent; its tenths fit into 32 bits.
 constexpr double kMaxServiceMs = 1'000'000;
 
 /// \returns a time in ms in whole tenths, limited to a plausible range.
--- a/buckthornwing/src/Fleet/FleetMembers.cpp
+++ b/buckthornwing/src/Fleet/FleetMembers.cpp
@@ -16,8 +16,8 @@
 constexpr MilliDuration kRecentChangePeriod{ 5000 };
 
 /// \brief Number of members among which a starting member chooses the one that
-/// it requests a view from. One of them gets no more than this part of the
-/// requests, and a dead one delays a view by few requests.
+/// it requests a view from. With several, none gets all requests, and a dead
+/// one rarely delays a view for long.
 constexpr std::size_t kViewSources = 4;
 /// \brief Number of members of a zone among which the receiver of a change is
 /// chosen, so that one which died unnoticed is not chosen each time.
@@ -68,8 +68,8 @@
 }
 
 /// \returns a member as a peer describes it, with the capacity class that is
-/// known already if the peer names none: peers of the version before leave it
-/// out of what they pass on, and no process changes its class.
+/// known already if the peer names none: older versions leave it out of what
+/// they pass on, and a process never changes its class.
 FleetMember
 withKnownClass(FleetMember member, const KnownMember& known)
 {
--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -22,7 +22,7 @@
   Endpoint address;
   std::uint64_t incarnation = 0; ///< different for each run of the process
   bool stopping = false;
-  bool hasView = false; ///< it has targets and routes to pass on
+  bool hasView = false; ///< it has a complete view to pass on
   /// Class of the instance's link and processor, see capacityClassOf(); members
   /// of a higher class do the work for the fleet first.
   std::uint8_t capacityClass = 0;
--- a/buckthornwing/src/Fleet/FleetMessenger.h
+++ b/buckthornwing/src/Fleet/FleetMessenger.h
@@ -63,8 +63,11 @@
   LoadReports& reports;
   std::vector<OutgoingFleetMessage> outbox;
 
+  /// \returns a heartbeat without load reports.
   FleetHeartbeat buildHeartbeat(std::span<const KnownMember* const> gossiped,
                                 MilliTime now);
+  /// \returns the load reports for a member, with sums if it is of another
+  /// zone.
   std::vector<TargetReport> reportsFor(const Endpoint& to, MilliTime now);
 };
 
--- a/buckthornwing/src/Fleet/LoadReports.h
+++ b/buckthornwing/src/Fleet/LoadReports.h
@@ -61,16 +61,21 @@
   bool hasOwnLoad(TargetSlot slot) const;
   TargetReport reportOf(TargetSlot slot, MilliTime now) const;
   TargetReport summedReportOf(TargetSlot slot, MilliTime now) const;
+  /// \brief Appends reports of the targets that a filter accepts until the
+  /// message is full.
+  /// \param next slot to begin with; set to the first one that had no room
   template<typename Filter, typename Report>
   void append(std::vector<TargetReport>& reports,
               std::size_t& next,
               Filter filter,
               Report report) const;
   void resetPeerLoads();
+  /// \brief Adds a member's reports, after removing the old ones.
   void addReports(KnownMember& member, MilliTime now);
-  void updatePeerServiceTimes();
+  /// \brief Adds the load in a report, unless the sum of its zone contains it.
   void addLoad(const KnownMember& member, const TargetReport& report);
   void addZoneSums();
+  void updatePeerServiceTimes();
 };
 
 }
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -65,7 +65,7 @@
 void
 ViewExchange::requestFirstView(MilliTime now)
 {
-  if (!this->choosesSource()) {
+  if (!this->needsFirstView()) {
     return;
   }
   const KnownMember* peer =
@@ -244,7 +244,7 @@
       routes >= this->newestAtPeers.routes) {
     this->newerAtPeersSince = MilliTime{};
   }
-  if (this->choosesSource() && this->members.knowsLargerSource(from, now)) {
+  if (this->needsFirstView() && this->members.knowsLargerSource(from, now)) {
     return;
   }
   if (peerTargets > targets) {
--- a/buckthornwing/src/Fleet/ViewExchange.h
+++ b/buckthornwing/src/Fleet/ViewExchange.h
@@ -104,9 +104,9 @@
 
   void mergeTargetsConfirmation(const ViewVersions& peer, MilliTime now);
   void mergeRoutesConfirmation(const ViewVersions& peer, MilliTime now);
-  /// \returns whether this instance chooses the member that it requests its
-  /// first view from.
-  bool choosesSource() const
+  /// \returns whether this instance has no view yet and takes one from a peer;
+  /// see requestFirstView().
+  bool needsFirstView() const
   {
     return !this->board.hasView() && this->board.settings.policy.takesPeerViews;
   }
--- a/buckthornwing/src/Fleet/ZoneSums.h
+++ b/buckthornwing/src/Fleet/ZoneSums.h
@@ -3,25 +3,18 @@
 
 #include "../Core/MilliTime.h"
 #include "FleetMessage.h"
+#include "ZoneSum.h"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <string>
 
 namespace buckthornwing {
 
-/// \brief Load that all instances of one zone cause at one target.
-struct ZoneSum
-{
-  double flows = 0;
-  double busy = 0;
-  MilliTime at{}; ///< time of receipt
-};
-
 /// \brief Newest sums of loads that members of other zones reported.
 ///
 /// A member of another zone is heard so rarely that adding up single reports
-/// misses most of its zone's load. Each zone's sum counts other instances, so
-/// that sums of several zones add up.
+/// misses most of its zone's load. Sums of several zones may be added up,
+/// because each counts the instances of its own zone only.
 class ZoneSums
 {
 public:
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -144,6 +144,24 @@
     }));
 }
 
+/// \returns the state of a target as it is shown in the status.
+boost::json::object
+describeTarget(const KnownTarget& target, const TargetLoad& load, MilliTime now)
+{
+  boost::json::object fields{ { "id", target.record.id },
+                              { "takes_new_flows", target.takesNewFlows() },
+                              { "flows", load.flows },
+                              { "busy", load.busy },
+                              { "service_ms", serviceTimeOf(load, now).ms },
+                              { "relative_service_time",
+                                load.relativeServiceTime },
+                              { "peer_flows", load.peerFlows } };
+  if (target.isCold(now)) {
+    fields["warm_in_ms"] = target.remainingWarmup(now).ms;
+  }
+  return fields;
+}
+
 /// \returns the flows refused during overloads, with their priorities as keys.
 boost::json::object
 refusalsByPriority(const TagCounters& counters)
@@ -270,19 +288,8 @@
     if (!target.used) {
       continue;
     }
-    const TargetLoad& load = board.observer.load(slot);
-    boost::json::object fields{ { "id", target.record.id },
-                                { "takes_new_flows", target.takesNewFlows() },
-                                { "flows", load.flows },
-                                { "busy", load.busy },
-                                { "service_ms", serviceTimeOf(load, now).ms },
-                                { "relative_service_time",
-                                  load.relativeServiceTime },
-                                { "peer_flows", load.peerFlows } };
-    if (target.isCold(now)) {
-      fields["warm_in_ms"] = target.remainingWarmup(now).ms;
-    }
-    targets.push_back(std::move(fields));
+    targets.push_back(
+      internal::describeTarget(target, board.observer.load(slot), now));
   }
   status["targets"] = std::move(targets);
   return boost::json::serialize(status);
--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -113,7 +113,8 @@
   }
   if (flow.requested) {
     this->serviceTimeHistogram.add(now - flow.busySince);
-    // A packet with the next request came after a pause of the caller.
+    // A packet with the next request came after a pause of the caller, so it
+    // does not tell when the answer arrived.
     if (!isRetransmitted && packet.payload.empty()) {
       this->addServiceTime(flow, now);
     }
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -99,7 +99,11 @@
   void recordProgress(TrackedFlow& flow,
                       const CallerPacket& packet,
                       MilliTime now);
+  /// \brief Adds a sample to the target's service time if its request found a
+  /// free slot.
   void addServiceTime(const TrackedFlow& flow, MilliTime now);
+  /// \returns whether the target has a slot for the flow's request; false while
+  /// the loads of targets are not known yet.
   bool hasFreeSlot(const TrackedFlow& flow, MilliTime now) const;
   void recordResponse(TrackedFlow& flow, MilliTime now);
   void markBusy(TrackedFlow& flow);
--- a/buckthornwing/src/Observation/RelativeServiceTime.cpp
+++ b/buckthornwing/src/Observation/RelativeServiceTime.cpp
@@ -7,30 +7,30 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Evidence from which a target may leave 1, and below which it returns
-/// to 1.
+/// \brief Evidence from which a typical target may become slower or faster.
 constexpr double kMinEvidence = kMinSharedEvidence;
+/// \brief Evidence below which a target counts as typical again.
 constexpr double kMinEvidenceToStay = kMinEvidence / 2;
-/// \brief Logarithms of the factors between which a target is typical, for one
-/// that was typical before and for one that was not.
+/// \brief Logarithm of the factor up to which a typical target stays typical.
 constexpr double kDeadBand = 0.5;
-constexpr double kDeadBandToStay = 0.2;
+/// \brief Logarithm of the factor up to which another target becomes typical.
+constexpr double kDeadBandToReturn = 0.2;
 /// \brief Standard deviation of the logarithm of one sample. Requests take
 /// times that are spread by half around their mean, some of them far longer.
 constexpr double kSampleDeviation = 0.6;
-/// \brief Number of standard errors that chance does not exceed, with many
-/// targets and a whole day.
+/// \brief Number of standard errors that chance does not exceed, even with many
+/// targets that are compared for a long time.
 constexpr double kMaxStandardErrors = 6;
 /// \brief Difference from the median that no caller notices; network delays
 /// vary by about as much.
 constexpr double kMinDifferenceMs = 5;
-/// \brief Plausible range.
-constexpr double kLeast = 0.25;
-constexpr double kMost = 8;
+/// \brief Plausible range of a relative service time.
+constexpr double kMinRelative = 0.25;
+constexpr double kMaxRelative = 8;
 
 /// \returns the logarithm of the factor that chance does not exceed.
 double
-chanceOf(double evidence)
+chanceLimitOf(double evidence)
 {
   return kMaxStandardErrors * kSampleDeviation / std::sqrt(evidence);
 }
@@ -71,13 +71,13 @@
   }
   const double relative = estimate.ms / *medianMs;
   const double deadBand =
-    wasTypical
-      ? std::max(internal::kDeadBand, internal::chanceOf(estimate.evidence))
-      : internal::kDeadBandToStay;
+    wasTypical ? std::max(internal::kDeadBand,
+                          internal::chanceLimitOf(estimate.evidence))
+               : internal::kDeadBandToReturn;
   if (std::abs(std::log(relative)) <= deadBand) {
     return 1;
   }
-  return std::clamp(relative, internal::kLeast, internal::kMost);
+  return std::clamp(relative, internal::kMinRelative, internal::kMaxRelative);
 }
 
 }
--- a/buckthornwing/src/Observation/RelativeServiceTime.h
+++ b/buckthornwing/src/Observation/RelativeServiceTime.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNWING_RELATIVE_SERVICE_TIME_H
 
 #include "ServiceTimeEstimate.h"
+#include "SpeedClass.h"
 
 #include <optional>
 #include <span>
@@ -12,14 +13,6 @@
 /// targets; 1 unless they differ by more than chance.
 using RelativeServiceTime = double;
 
-/// \brief Whether new flows count a target as typical of its service.
-enum class SpeedClass
-{
-  typical,
-  slower,
-  faster,
-};
-
 /// \returns the class of a relative service time.
 constexpr SpeedClass
 speedClassOf(RelativeServiceTime relative)
--- a/buckthornwing/src/SlowStart/HeldShare.h
+++ b/buckthornwing/src/SlowStart/HeldShare.h
@@ -10,8 +10,8 @@
 namespace buckthornwing {
 
 /// \brief Time for which a higher share must have been computed before it
-/// counts. Within it, the other instances learn of the same members, and the
-/// flows that they placed before are over a second old.
+/// applies. Meanwhile the other instances learn of the same members, and the
+/// flows that they placed by their former shares become over a second old.
 inline constexpr MilliDuration kShareHoldTime{ 5000 };
 
 /// \brief A share that falls at once, and rises to the lowest value that was
@@ -20,7 +20,8 @@
 {
 public:
   /// \brief Takes the share that is computed now.
-  /// \param since time since which it has been the same, as far as known
+  /// \param since time since which the computed share has been the same, as far
+  /// as known; used only when a rise begins
   void update(std::uint32_t share, MilliTime since, MilliTime now)
   {
     if (share <= this->granted) {
@@ -42,6 +43,7 @@
   std::uint32_t value() const { return this->granted; }
 
 private:
+  /// \brief A rise that does not apply yet.
   struct Rise
   {
     std::uint32_t share = 0; ///< lowest one since then
--- a/buckthornwing/src/SlowStart/MembershipWatch.cpp
+++ b/buckthornwing/src/SlowStart/MembershipWatch.cpp
@@ -6,10 +6,10 @@
 /// \brief Time without an update after which the members are not believed; a
 /// tick is due every 100 ms.
 constexpr MilliDuration kMaxUpdateGap{ 1000 };
-/// \brief Time that members which are not seen any more are reckoned with. The
-/// parts of a divided fleet are kept from taking themselves for the whole for
-/// at least this long.
-constexpr MilliDuration kLargestLifetime{ 300000 };
+/// \brief Time for which the largest number of members is remembered after it
+/// was last seen. At least this long, no small part of a divided fleet acts as
+/// if it were the whole.
+constexpr MilliDuration kLargestCountLifetime{ 300000 };
 
 }
 
@@ -23,7 +23,8 @@
   }
   this->updatedAt = now;
   const std::size_t count = newMembers.count();
-  const bool isOutdated = now - this->largestAt > internal::kLargestLifetime;
+  const bool isOutdated =
+    now - this->largestAt > internal::kLargestCountLifetime;
   if (count >= this->largest || isOutdated) {
     this->largest = count;
     this->largestAt = now;
--- a/buckthornwing/src/SlowStart/SlowStartShare.h
+++ b/buckthornwing/src/SlowStart/SlowStartShare.h
@@ -1,24 +1,13 @@
 #ifndef BUCKTHORNWING_SLOW_START_SHARE_H
 #define BUCKTHORNWING_SLOW_START_SHARE_H
 
-#include "../View/TargetRecord.h"
 #include "ActiveMembers.h"
+#include "ColdTarget.h"
 
 #include <cstdint>
 
 namespace buckthornwing {
 
-/// \brief A cold target with a limit.
-struct ColdTarget
-{
-  TargetKey key;
-  ZoneKey zone = 0;
-  /// New flows that all instances together may place on it in any second.
-  double allowance = 0;
-
-  bool operator==(const ColdTarget&) const = default;
-};
-
 /// \returns the flows a second that are shared out among the instances: half of
 /// the allowance, in whole flows. The other half allows for instances that see
 /// different members. An allowance below 2 leaves none: the target gets its
--- a/buckthornwing/src/Steering/AdmissionController.cpp
+++ b/buckthornwing/src/Steering/AdmissionController.cpp
@@ -1,5 +1,7 @@
 #include "AdmissionController.h"
 
+#include "../Admission/ZoneQueue.h"
+#include "FlowSample.h"
 #include "PlacementPolicy.h"
 #include "TargetEligibility.h"
 
@@ -16,10 +18,11 @@
 constexpr double kCrossingRounds = 1;
 /// \brief Time without a refusal after which an overload has ended.
 constexpr MilliDuration kOverloadEnd{ 2000 };
-/// \brief Time from the start of an instance until it knows the loads. What
-/// piles up during an outage of all instances is served within it.
+/// \brief Time from an instance's first complete view until it knows the loads.
+/// Nothing is refused in it: the queue that an outage of all instances leaves
+/// behind is served meanwhile.
 constexpr MilliDuration kTimeToKnowLoads{ 3000 };
-/// \brief Makes this choice independent of others by the same hash.
+/// \brief Salt of sampleOf().
 constexpr std::uint64_t kAdmissionSalt = 0x61646d6974;
 
 /// \returns the least of the other zones' rounds; nothing if there is no other
@@ -39,8 +42,8 @@
   return least;
 }
 
-/// \returns the queue that a new request meets, in the own zone or in another
-/// one.
+/// \returns the rounds of requests queued before a new one, in the own zone or
+/// in another one; 0 if no zone has targets.
 double
 bestRounds(const std::map<std::string_view, ZoneQueue>& zones,
            std::string_view ownZone)
@@ -55,7 +58,7 @@
   if (!other) {
     return *own;
   }
-  // Free slots count without that: nothing is refused while there is room.
+  // A free slot counts in any zone: nothing is refused while there is room.
   return *other > 0 ? std::min(*own, *other + kCrossingRounds) : 0;
 }
 
@@ -212,8 +215,7 @@
 {
   const double probability = this->refusalProbability(route, service, target);
   return probability > 0 &&
-         Random{ mixWords(flow.bits, internal::kAdmissionSalt) }.unit() <
-           probability;
+         sampleOf(flow, internal::kAdmissionSalt) < probability;
 }
 
 void
--- a/buckthornwing/src/Steering/AdmissionController.h
+++ b/buckthornwing/src/Steering/AdmissionController.h
@@ -3,6 +3,7 @@
 
 #include "../Admission/AdmissionPolicy.h"
 #include "../Admission/PriorityDemand.h"
+#include "../Admission/ServiceQueue.h"
 #include "TagBlackboard.h"
 
 #include <map>
@@ -12,8 +13,9 @@
 
 namespace buckthornwing {
 
-/// \brief Refuses new flows while their service has too little room, the less
-/// urgent ones first. Acts on services whose routes have several priorities.
+/// \brief Decides which new flows are refused while their service has too
+/// little room, the less urgent ones first. Acts on services whose routes have
+/// several priorities.
 class AdmissionController
 {
 public:
@@ -78,7 +80,9 @@
   /// otherwise, and until the next tick after a change of the routes, null.
   const ServiceState* find(ServiceSlot service) const;
   void updateQueue(ServiceSlot service, MilliTime now);
+  /// \returns the queue of a service by the loads of its usable targets.
   ServiceQueue queueOf(ServiceSlot service, MilliTime now) const;
+  /// \brief Logs the end of an overload, if there is one.
   void reportEnd(ServiceState& state);
 };
 
--- a/buckthornwing/src/Steering/PlacementAperture.cpp
+++ b/buckthornwing/src/Steering/PlacementAperture.cpp
@@ -7,7 +7,7 @@
 namespace internal {
 
 /// \brief Weight of the requests in progress that peers reported. Most of them
-/// ended before the report was used.
+/// have ended when the report is used.
 constexpr double kReportedBusyWeight = 0.25;
 /// \brief Weight of an open flow, which may send a request later.
 constexpr double kFlowWeight = 0.1;
@@ -26,8 +26,8 @@
   const double busy = load.busy + kReportedBusyWeight * load.peerBusy;
   const double flows = load.flows + load.peerFlows;
   const double waiting = std::max(0.0, busy + 1 - target.capacity);
-  const double own = busy + kFlowWeight * flows + kWaitingWeight * waiting;
-  return own / target.capacity + kOutsideWeight * (1 - target.share);
+  const double weighted = busy + kFlowWeight * flows + kWaitingWeight * waiting;
+  return weighted / target.capacity + kOutsideWeight * (1 - target.share);
 }
 
 }
--- a/buckthornwing/src/Steering/PlacementPolicy.cpp
+++ b/buckthornwing/src/Steering/PlacementPolicy.cpp
@@ -2,7 +2,7 @@
 
 #include "PlacementAperture.h"
 #include "TargetEligibility.h"
-#include "ZoneRooms.h"
+#include "ZoneRoom.h"
 
 #include <algorithm>
 #include <limits>
@@ -16,10 +16,9 @@
 /// \brief Number of requests per slot by which the queue in another zone must
 /// be shorter. The round trip between zones takes about as long as one request.
 constexpr double kMinSavedRounds = 2.0;
-
-/// \brief Number of peers in the zone that hear each heartbeat.
-constexpr std::size_t kPeersOfFreshReports = 3;
-
+/// \brief Number of peers in the zone that get each heartbeat. In a zone with
+/// no more of them, all loads are reported often enough to compare targets.
+constexpr std::size_t kPeersPerHeartbeat = 3;
 /// \brief Added to the load of a target that new flows avoid, because it may
 /// not answer. Such a target is chosen only if all targets are avoided.
 constexpr double kSilentPenalty = 1000000.0;
@@ -93,10 +92,6 @@
   return saved > kMinSavedRounds ? other : own;
 }
 
-}
-
-namespace internal {
-
 /// \returns whether a request can start at once at the best target of a zone,
 /// which answers. If none can, queues last longer than reports, and the load
 /// that peers report decides.
@@ -107,15 +102,45 @@
          queuedRounds(board, best.slot) == 0;
 }
 
-/// \returns whether the aperture is used: its zone has so many instances that
-/// the reports of most of them are older than a request takes.
+/// \returns whether the aperture is used: this instance's zone has so many
+/// instances that most of their reports are older than a request takes.
 bool
-hasOldReports(const TagBlackboard& board)
+usesAperture(const TagBlackboard& board)
 {
   return board.settings.policy.usesAperture &&
-         board.zonePeers > kPeersOfFreshReports;
+         board.zonePeers > kPeersPerHeartbeat;
 }
 
+/// \brief Targets that a new flow may be placed on.
+struct PlacementOptions
+{
+  Candidate own;                    ///< best target of the own zone
+  Candidate other;                  ///< best target of all other zones
+  ZoneRoom ownRoom;                 ///< of the own zone
+  std::vector<ZoneRoom> otherRooms; ///< one for each other zone
+
+  void add(const TagBlackboard& board,
+           FlowId flow,
+           TargetSlot slot,
+           MilliTime now)
+  {
+    const KnownTarget& target = board.registry.at(slot);
+    const bool isLocal = target.record.zone == board.settings.zone ||
+                         !board.settings.policy.prefersOwnZone;
+    const double penalty = silencePenalty(board, slot, now);
+    (isLocal ? this->own : this->other)
+      .offer({ slot,
+               placementLoad(board, slot) + penalty,
+               rendezvousScore(flow, target) });
+    ZoneRoom& room =
+      isLocal ? this->ownRoom : roomOf(this->otherRooms, target.record.zone);
+    room.add(
+      { slot, target.key.bits, typicalSlotsOf(board, slot), penalty == 0 },
+      board.observer.load(slot));
+  }
+};
+
+/// \returns whether flows move to other zones by the load of whole zones.
 bool
 sharesByRoom(const TagBlackboard& board)
 {
@@ -207,41 +232,27 @@
                            ServiceSlot service,
                            MilliTime now) const
 {
-  internal::Candidate own;
-  internal::Candidate other;
-  ZoneRoom ownRoom;
-  std::vector<ZoneRoom> otherRooms;
+  internal::PlacementOptions options;
   for (const TargetSlot slot : board.pools.targetsOf(service)) {
-    if (reasonAgainst(board, service, slot, now)) {
-      continue;
+    if (!reasonAgainst(board, service, slot, now)) {
+      options.add(board, flow, slot, now);
     }
-    const KnownTarget& target = board.registry.at(slot);
-    const bool isLocal = target.record.zone == board.settings.zone ||
-                         !board.settings.policy.prefersOwnZone;
-    const double penalty = internal::silencePenalty(board, slot, now);
-    (isLocal ? own : other)
-      .offer({ slot,
-               placementLoad(board, slot) + penalty,
-               internal::rendezvousScore(flow, target) });
-    ZoneRoom& room = isLocal ? ownRoom : roomOf(otherRooms, target.record.zone);
-    room.add({ slot,
-               target.key.bits,
-               internal::typicalSlotsOf(board, slot),
-               penalty == 0 },
-             board.observer.load(slot));
   }
-  ZoneRoom* emptier = internal::sharesByRoom(board)
-                        ? chooseOtherZone(ownRoom, otherRooms, flow)
-                        : nullptr;
-  if (emptier != nullptr) {
-    return chooseInAperture(board, emptier->targets, flow);
+  ZoneRoom* otherRoom =
+    internal::sharesByRoom(board)
+      ? chooseOtherZone(options.ownRoom, options.otherRooms, flow)
+      : nullptr;
+  if (otherRoom != nullptr) {
+    return chooseInAperture(board, otherRoom->targets, flow);
   }
-  const internal::Candidate best = internal::chooseZone(board, own, other);
-  const bool usesAperture = best.slot == own.slot &&
-                            internal::hasFreeSlot(board, own) &&
-                            internal::hasOldReports(board);
-  return usesAperture ? chooseInAperture(board, ownRoom.targets, flow)
-                      : best.slot;
+  const internal::Candidate best =
+    internal::chooseZone(board, options.own, options.other);
+  const bool prefersAperture = best.slot == options.own.slot &&
+                               internal::hasFreeSlot(board, options.own) &&
+                               internal::usesAperture(board);
+  return prefersAperture
+           ? chooseInAperture(board, options.ownRoom.targets, flow)
+           : best.slot;
 }
 
 }
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -42,7 +42,7 @@
   return this->board.hasView()
            ? this->decideOpening(
                packet, flowIdOf(flow, this->board.settings.tagSecret), now)
-           : this->decideWithoutRoutes(packet, now);
+           : this->decideWithoutView(packet, now);
 }
 
 SteeringDecision
@@ -53,7 +53,7 @@
   const bool isViewMissing =
     packet.isOpening ? !this->board.hasView() : !this->board.canForward();
   if (isViewMissing) {
-    decision = this->decideWithoutRoutes(packet, now);
+    decision = this->decideWithoutView(packet, now);
   } else if (packet.isOpening) {
     decision = this->decideOpening(packet, id, now);
   } else {
@@ -63,8 +63,8 @@
 }
 
 SteeringDecision
-SteeringController::decideWithoutRoutes(const CallerPacket& packet,
-                                        MilliTime now) const
+SteeringController::decideWithoutView(const CallerPacket& packet,
+                                      MilliTime now) const
 {
   SteeringDecision decision;
   decision.outcome = SteeringOutcome::hold;
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -51,11 +51,11 @@
   UnknownTargets unknownTargets;
 
   SteeringDecision choose(const CallerPacket& packet, MilliTime now);
-  /// \brief Decides while a part of the view is missing. Packets of open flows
-  /// are forwarded as soon as the targets are loaded: the tag alone identifies
-  /// the target, and routes may take much longer to load.
-  SteeringDecision decideWithoutRoutes(const CallerPacket& packet,
-                                       MilliTime now) const;
+  /// \brief Decides while a part of the view that the packet needs is missing.
+  /// Packets of open flows are forwarded as soon as the targets are loaded: the
+  /// tag alone identifies the target, and routes may take much longer to load.
+  SteeringDecision decideWithoutView(const CallerPacket& packet,
+                                     MilliTime now) const;
   /// \brief Decides an opening without any effect; finish() records it.
   SteeringDecision decideOpening(const CallerPacket& packet,
                                  FlowId id,
--- a/buckthornwing/src/Steering/TagEvent.h
+++ b/buckthornwing/src/Steering/TagEvent.h
@@ -37,7 +37,8 @@
   entryIgnored,        ///< an entry of the operator is not understood
   overloadBegan,       ///< a service begins to refuse openings of a priority
   overloadEnded,       ///< it refuses none of them any more
-  targetSpeed,    ///< a target's speed differs from its service's, or no longer
+  targetSpeed,    ///< a target became slower or faster than is typical of its
+                  ///< service, or typical again
   slowStartBegan, ///< new flows to a cold target are limited
   slowStartEnded, ///< the target is warm
 };
--- a/buckthornwing/src/Steering/TagPolicySettings.h
+++ b/buckthornwing/src/Steering/TagPolicySettings.h
@@ -16,10 +16,10 @@
   bool prefersOwnZone = true; ///< places new flows in this instance's zone
   bool sharesZones = true;    ///< uses other zones while requests queue in it
   bool weighsSpeeds = true;   ///< places fewer flows on slower targets
-  bool usesZoneRoom = true;   ///< uses other zones by the room that zones have
+  bool usesZoneRoom = true;   ///< uses other zones by the load of whole zones
   bool usesAperture = true;   ///< prefers a part of the zone's targets
-  bool sumsZones = true;      ///< reports to other zones the zone's sums
-  bool admitsByPriority = true; ///< refuses flows while a service is overloaded
+  bool sumsZones = true;      ///< reports the whole zone's load to other zones
+  bool admitsByPriority = true; ///< refuses less urgent flows during overload
   bool usesPeerLoads = true;    ///< counts the load that peers report
   bool findsSilent = true;      ///< suspects targets that do not answer
   bool probes = true;           ///< probes suspected targets
--- a/buckthornwing/src/Steering/ZoneRooms.cpp
+++ b/buckthornwing/src/Steering/ZoneRoom.cpp
@@ -1,4 +1,6 @@
-#include "ZoneRooms.h"
+#include "ZoneRoom.h"
+
+#include "FlowSample.h"
 
 #include <algorithm>
 
@@ -6,21 +8,15 @@
 namespace internal {
 
 /// \brief Requests per slot of a zone that has no room left.
-constexpr double kFull = 1.0;
-/// \brief Requests per slot by which the other zone must be less loaded. The
-/// round trip between zones takes about as long as one request.
-constexpr double kMinDifference = 1.0;
-/// \brief Further difference at which all flows move.
-constexpr double kFullDifference = 3.0;
-/// \brief Makes this choice independent of others by the same hash.
-constexpr std::uint64_t kSalt = 0x7a6f6e65;
-
-/// \returns a number in [0, 1) that depends on the flow alone.
-double
-unitOf(FlowId flow)
-{
-  return Random{ mixWords(flow.bits, kSalt) }.unit();
-}
+constexpr double kFullLoad = 1.0;
+/// \brief Requests per slot by which the other zone must be less loaded for any
+/// flow to move. The round trip between zones takes about as long as one
+/// request.
+constexpr double kMinLoadDifference = 1.0;
+/// \brief Requests per slot beyond kMinLoadDifference at which all flows move.
+constexpr double kMoveAllDifference = 3.0;
+/// \brief Salt of sampleOf().
+constexpr std::uint64_t kZoneSalt = 0x7a6f6e65;
 
 }
 
@@ -59,21 +55,21 @@
 chooseOtherZone(const ZoneRoom& own, std::vector<ZoneRoom>& others, FlowId flow)
 {
   const std::optional<double> ownLoad = own.load();
-  if (!ownLoad || *ownLoad <= internal::kFull) {
+  if (!ownLoad || *ownLoad <= internal::kFullLoad) {
     return nullptr;
   }
   ZoneRoom* best = nullptr;
-  double bestLoad = internal::kFull;
+  double bestLoad = internal::kFullLoad;
   for (ZoneRoom& other : others) {
-    const double load = other.load().value_or(internal::kFull);
+    const double load = other.load().value_or(internal::kFullLoad);
     if (load < bestLoad) {
       best = &other;
       bestLoad = load;
     }
   }
-  const double excess = *ownLoad - bestLoad - internal::kMinDifference;
+  const double excess = *ownLoad - bestLoad - internal::kMinLoadDifference;
   const bool moves =
-    internal::unitOf(flow) * internal::kFullDifference < excess;
+    sampleOf(flow, internal::kZoneSalt) * internal::kMoveAllDifference < excess;
   return moves ? best : nullptr;
 }
 
--- a/buckthornwing/src/Steering/ZoneRooms.h
+++ b/buckthornwing/src/Steering/ZoneRoom.h
@@ -1,7 +1,7 @@
-#ifndef BUCKTHORNWING_ZONE_ROOMS_H
-#define BUCKTHORNWING_ZONE_ROOMS_H
+#ifndef BUCKTHORNWING_ZONE_ROOM_H
+#define BUCKTHORNWING_ZONE_ROOM_H
 
-#include "PlacementAperture.h"
+#include "ApertureTarget.h"
 
 #include <optional>
 #include <string_view>
@@ -17,6 +17,7 @@
   double busy = 0;     ///< requests in progress or queued at eligible targets
   double capacity = 0; ///< request slots of eligible targets
 
+  /// \brief Adds a target, with its load if it is eligible.
   void add(const ApertureTarget& target, const TargetLoad& load);
 
   /// \returns the requests per slot; nothing if no target is eligible.
--- a/buckthornwing/src/View/Evacuations.cpp
+++ b/buckthornwing/src/View/Evacuations.cpp
@@ -53,7 +53,7 @@
 
 /// \brief Shortens a list to the newest evacuations that the bounds admit.
 void
-limit(Zones& zones)
+keepNewest(Zones& zones)
 {
   std::sort(
     zones.begin(), zones.end(), [](const auto& left, const auto& right) {
@@ -110,20 +110,20 @@
       internal::put(list.zones, { change.zone, change.version });
     }
   }
-  internal::limit(list.zones);
+  internal::keepNewest(list.zones);
   this->current = std::move(list);
   this->removeExpired(now);
   return true;
 }
 
 void
-Evacuations::merge(const EvacuationList& peers, MilliTime now)
+Evacuations::merge(const EvacuationList& ofPeer, MilliTime now)
 {
-  if (this->current && peers.asOf <= this->current->asOf) {
+  if (this->current && ofPeer.asOf <= this->current->asOf) {
     return;
   }
-  EvacuationList list{ peers.asOf, {} };
-  for (const Evacuation& evacuation : peers.zones) {
+  EvacuationList list{ ofPeer.asOf, {} };
+  for (const Evacuation& evacuation : ofPeer.zones) {
     internal::put(list.zones, evacuation);
   }
   this->replace(std::move(list), now);
@@ -136,13 +136,13 @@
     this->eraSeenAt = now;
   }
   for (const Evacuation& known : this->zones()) {
-    const bool isUnknownThere =
+    const bool isUnknownToList =
       known.version.era < list.asOf.era || !list.asOf.covers(known.version);
-    if (isUnknownThere && !internal::contains(list.zones, known.zone)) {
+    if (isUnknownToList && !internal::contains(list.zones, known.zone)) {
       internal::put(list.zones, known);
     }
   }
-  internal::limit(list.zones);
+  internal::keepNewest(list.zones);
   this->current = std::move(list);
   this->removeExpired(now);
 }
--- a/buckthornwing/src/View/Evacuations.h
+++ b/buckthornwing/src/View/Evacuations.h
@@ -2,9 +2,13 @@
 #define BUCKTHORNWING_EVACUATIONS_H
 
 #include "../Core/MilliTime.h"
+#include "EvacuationDelta.h"
 #include "EvacuationList.h"
+#include "EvacuationListing.h"
 
+#include <cstddef>
 #include <optional>
+#include <span>
 
 namespace buckthornwing {
 
@@ -37,7 +41,7 @@
   bool applyDelta(const EvacuationDelta& delta, MilliTime now);
 
   /// \brief Takes over the list of a peer if it is of a later position.
-  void merge(const EvacuationList& peers, MilliTime now);
+  void merge(const EvacuationList& ofPeer, MilliTime now);
 
   /// \brief Removes the evacuations of earlier eras whose time has passed.
   void removeExpired(MilliTime now);
@@ -59,7 +63,9 @@
   /// \brief Replaces the list by a complete one. Evacuations that the complete
   /// one can't know stay.
   void replace(EvacuationList list, MilliTime now);
+  /// \returns whether the store has lost an evacuation; requires a list.
   bool isLost(const Evacuation& evacuation) const;
+  /// \returns whether the time of a lost evacuation has passed.
   bool isExpired(const Evacuation& evacuation, MilliTime now) const;
 };
 
--- a/bwctl/ExplainCommand.cpp
+++ b/bwctl/ExplainCommand.cpp
@@ -8,6 +8,32 @@
 #include <iostream>
 
 namespace buckthornwing::bwctl {
+namespace {
+
+/// \brief Prints the most important fields of an instance's answer as text.
+void
+printText(const boost::json::object& report)
+{
+  printFields(report,
+              { "flow",
+                "instance",
+                "zone",
+                "route",
+                "priority",
+                "service",
+                "outcome",
+                "reason",
+                "target",
+                "targets_revision",
+                "targets_age_ms",
+                "routes_version",
+                "routes_age_ms",
+                "evacuated_zones",
+                "admission" });
+  printRows(report, "candidates");
+}
+
+}
 
 boost::leaf::result<int>
 explainAtInstance(const Arguments& arguments)
@@ -35,23 +61,7 @@
   if (arguments.json) {
     std::cout << body << '\n';
   } else {
-    printFields(report.get_object(),
-                { "flow",
-                  "instance",
-                  "zone",
-                  "route",
-                  "priority",
-                  "service",
-                  "outcome",
-                  "reason",
-                  "target",
-                  "targets_revision",
-                  "targets_age_ms",
-                  "routes_version",
-                  "routes_age_ms",
-                  "evacuated_zones",
-                  "admission" });
-    printRows(report.get_object(), "candidates");
+    printText(report.get_object());
   }
   const bool isForwarded = report.get_object().contains("outcome") &&
                            report.get_object().at("outcome") == "forward";
--- a/emulator/Checks.cpp
+++ b/emulator/Checks.cpp
@@ -168,6 +168,7 @@
   const auto recent =
     this->parts.routes.servicesSince(flow.route, this->routesSince(sentAt));
   const bool hadRoute = !recent.contains("");
+  // For some time after an evacuation, instances may still keep to it.
   const auto isUsable = [this](const Target& target) {
     return !this->parts.evacuations.wasEvacuatedWithin(
       target.zone, Bounds::kMaxEvacuationDelay);
--- a/emulator/Targets.h
+++ b/emulator/Targets.h
@@ -45,7 +45,7 @@
 
   /// \returns whether a service has a target that has been registered and
   /// without faults for long enough that all instances must know it.
-  /// \param isUsable whether a target may take new flows for other reasons
+  /// \param isUsable decides whether a target counts; the others are skipped
   bool canServe(const std::string& service,
                 const std::function<bool(const Target&)>& isUsable) const;
 
--- a/emulator/ZoneEvacuations.h
+++ b/emulator/ZoneEvacuations.h
@@ -22,7 +22,9 @@
   {
   }
 
+  /// \brief Writes the evacuation of a zone.
   void evacuate(const std::string& zone);
+  /// \brief Ends the evacuation of a zone; no effect if it is not evacuated.
   void withdraw(const std::string& zone);
   /// \brief Writes the evacuations again, and removes those that were
   /// withdrawn, after the store came back from an older copy.
--- a/soak/Day.h
+++ b/soak/Day.h
@@ -24,7 +24,7 @@
   dropHistory, ///< the store drops its history of changes
   lapse,       ///< the store loses all registrations
   oddEntry,    ///< another writer leaves an entry
-  evacuate,    ///< the operator evacuates a zone and takes it back later
+  evacuate,    ///< the operator evacuates a zone and withdraws that later
 };
 
 /// \brief An event of a day. Which fields matter depends on its kind.
@@ -36,7 +36,7 @@
   std::size_t zone = 0;    ///< index in the deployment
   std::size_t count = 1;
   MilliDuration gap{};      ///< time between two parts of the event
-  MilliDuration duration{}; ///< of the disruption
+  MilliDuration duration{}; ///< of the disruption or evacuation
   MilliDuration copyAge{};  ///< age of the copy when the store goes away
 };
 
