--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -113,7 +113,8 @@
   }
   if (flow.requested) {
     this->serviceTimeHistogram.add(now - flow.busySince);
-    // A packet with the next request came after a pause of the caller.
+    // A packet with the next request came after a pause of the caller, so it
+    // does not tell when the answer arrived.
     if (!isRetransmitted && packet.payload.empty()) {
       this->addServiceTime(flow, now);
     }
@@ -126,8 +127,9 @@
 {
   const MilliDuration took = now - flow.busySince;
   if (flow.foundFreeSlot && took > flow.roundTrip) {
+    const MilliDuration served{ took.ms - flow.roundTrip.ms };
     this->mutableLoad(flow.target)
-      .serviceTime.add(MilliDuration{ took.ms - flow.roundTrip.ms }, now);
+      .serviceTime.add(this->kindTimes.toAverage(flow.kind, served), now);
   }
 }
 
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -3,6 +3,7 @@
 
 #include "../Tagging/CallerPacket.h"
 #include "LatencyHistogram.h"
+#include "RequestKindTimes.h"
 #include "TargetLoad.h"
 #include "TrackedFlow.h"
 
@@ -87,6 +88,7 @@
   TrackedFlows flows;
   std::vector<TargetLoad> loads;
   LatencyHistogram serviceTimeHistogram;
+  RequestKindTimes kindTimes;
   MilliTime firstPacketAt{};
 
   Observation observe(TrackedFlow& flow,
@@ -99,7 +101,11 @@
   void recordProgress(TrackedFlow& flow,
                       const CallerPacket& packet,
                       MilliTime now);
+  /// \brief Adds a sample to the target's service time if its request found a
+  /// free slot.
   void addServiceTime(const TrackedFlow& flow, MilliTime now);
+  /// \returns whether the target has a slot for the flow's request; false while
+  /// the loads of targets are not known yet.
   bool hasFreeSlot(const TrackedFlow& flow, MilliTime now) const;
   void recordResponse(TrackedFlow& flow, MilliTime now);
   void markBusy(TrackedFlow& flow);
