--- a/fuzz/observer.cpp
+++ b/fuzz/observer.cpp
@@ -44,7 +44,7 @@
     require(observer.load(target).flows == counts[target].first);
     require(observer.load(target).busy == counts[target].second);
     require(observer.load(target).silentFlows >= 0);
-    require(observer.load(target).serviceMs >= 0);
+    require(observer.load(target).serviceTime.estimate(MilliTime{}).ms >= 0);
   }
 }
 
