--- a/buckthornwing/src/Fleet/FleetMessage.h
+++ b/buckthornwing/src/Fleet/FleetMessage.h
@@ -49,7 +49,7 @@
   std::optional<EvacuationList> evacuations;
 };
 
-/// \brief Load and health of one target as measured by one instance.
+/// \brief Load and health of one target as one instance sees them.
 struct TargetReport
 {
   ShortTargetKey target = 0;
--- a/test/tag/even_load.cpp
+++ b/test/tag/even_load.cpp
@@ -94,7 +94,8 @@
   const LoadPattern pattern = fourZones(kLarge);
   const LoadResult with = replay(pattern, {});
   const LoadResult without = replay(pattern, kWithoutAperture);
-  cr_assert_lt(with.queues.needlessShare(), without.queues.needlessShare());
+  cr_assert_lt(with.queues.needlessShare(),
+               0.75 * without.queues.needlessShare());
   cr_assert_lt(with.refused, without.refused / 4);
   cr_assert_lt(with.late, without.late);
 }
@@ -130,7 +131,8 @@
   pattern.messageLoss = 0.3;
   const LoadResult with = replay(pattern, {});
   const LoadResult without = replay(pattern, kWithoutAperture);
-  cr_assert_lt(with.queues.needlessShare(), without.queues.needlessShare());
+  cr_assert_lt(with.queues.needlessShare(),
+               0.7 * without.queues.needlessShare());
 }
 
 /// The callers of one zone ask for 1.5 times its room, while the others use
@@ -142,8 +144,8 @@
     pattern.firstZoneDemand = 2;
     const LoadResult with = replay(pattern, {});
     const LoadResult without = replay(pattern, kWithoutZoneRoom);
-    cr_assert_lt(with.refused, without.refused);
-    cr_assert_lt(with.late, without.late);
+    cr_assert_lt(with.refused, 0.8 * without.refused);
+    cr_assert_lt(with.late, 0.9 * without.late);
     cr_assert_lt(with.queues.otherZoneShare(), 0.12);
   }
 }
