--- a/review/stand-ins-2/Platform.h
+++ b/review/stand-ins-2/Platform.h
@@ -1071,8 +1071,9 @@
   std::vector<Instance> instances;
   std::unique_ptr<Targets> targets;
   std::unique_ptr<Callers> callers;
-  std::uint16_t base = 0; ///< first of the ports of this run
-  unsigned net = 0;       ///< second byte of this run's loopback addresses
+  std::uint16_t base = 0;  ///< first of the ports of this run
+  unsigned net = 0;        ///< second byte of this run's loopback addresses
+  std::string grace = "6"; ///< the bound grace_s in the settings
 
   explicit Deployment(const std::string& recordPath)
     : record(recordPath)
@@ -1124,12 +1125,20 @@
       { makeIp(127, this->net, 2, ++this->targetCount), port(5) });
   }
 
+  /// Writes the settings file of a process.
+  void writeSettings(std::size_t index, bool isFirstStart)
+  {
+    const Instance& instance = this->instances[index];
+    std::ofstream(this->settingsFile(instance))
+      << this->renderSettings(instance, isFirstStart);
+  }
+
   /// Starts a process by the deploy file's command.
   void start(std::size_t index, bool isFirstStart)
   {
     Instance& instance = this->instances[index];
-    const std::string file = this->folder + "/" + instance.id + ".json";
-    std::ofstream(file) << this->renderSettings(instance, isFirstStart);
+    this->writeSettings(index, isFirstStart);
+    const std::string file = this->settingsFile(instance);
     const std::string log = this->folder + "/" + instance.id + ".log";
     const pid_t pid = fork();
     if (pid == 0) {
@@ -1177,6 +1186,17 @@
     this->record.line("%s has ended", this->instances[index].id.c_str());
   }
 
+  /// Whether a process is not running.
+  bool hasEnded(std::size_t index)
+  {
+    Instance& instance = this->instances[index];
+    if (instance.pid > 0 && waitpid(instance.pid, nullptr, WNOHANG) != 0) {
+      instance.pid = -1;
+      this->record.line("%s has ended", instance.id.c_str());
+    }
+    return instance.pid < 0;
+  }
+
   bool isReady(const Instance& instance)
   {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -1258,6 +1278,11 @@
   std::string folder;
   unsigned targetCount = 0;
 
+  std::string settingsFile(const Instance& instance) const
+  {
+    return this->folder + "/" + instance.id + ".json";
+  }
+
   std::uint16_t port(unsigned offset) const
   {
     return static_cast<std::uint16_t>(this->base + offset);
@@ -1284,7 +1309,7 @@
       { "limits.cpu_share", "0.25" },
       { "heartbeat_ms", "1200" },
       { "platform.address", addressText(instance.store) },
-      { "bounds.grace_s", "6" },
+      { "bounds.grace_s", this->grace },
     };
     if (isFirstStart) {
       values["bootstrap"] = "true";
