--- a/review/8/case.cpp
+++ b/review/8/case.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::size_t kRoutes = 1400; ///< dropped and restored together
 constexpr std::size_t kCallers = 300;
-constexpr std::size_t kRestarts = 8;
+constexpr std::size_t kRestarts = 16; ///< each process twice
 /// Time from the restoring configuration to the move of the restarted
 /// instance's flows.
 constexpr double kLead = 0.06;
@@ -74,7 +74,8 @@
   std::size_t opened = 0;
   std::size_t moved = 0;
   std::size_t reset = 0;
-  for (std::size_t restart = 0; restart < kRestarts; ++restart) {
+  for (std::size_t round = 0; round < kRestarts; ++round) {
+    const std::size_t restart = round % deployment.instances.size();
     if (withTrouble()) {
       version += 2;
       deployment.store.put("op/config",
@@ -100,8 +101,7 @@
     for (std::size_t i = 0; i < kCallers; ++i) {
       sleepUntil(acknowledged + kLead * static_cast<double>(i) / kCallers);
       callers.emplace_back([&, i] {
-        const std::string id =
-          std::to_string(restart) + "-" + std::to_string(i);
+        const std::string id = std::to_string(round) + "-" + std::to_string(i);
         const Outcome outcome = deployment.callers->request(
           router, destination(i * 37 % kRoutes), id, 0.05);
         const std::lock_guard<std::mutex> lock(mutex);
@@ -120,7 +120,7 @@
     deployment.awaitExit(restart);
     deployment.start(restart, false);
     deployment.awaitReady(10);
-    sleepFor(2);
+    sleepFor(1.5);
   }
   deployment.record.line(
     "of %zu opened flows %zu moved to another instance; the "
