Review: the case of the settings becomes case 10

Cause: cases are numbered by their weight, and a graver one was found.

Change: review/9 moves to review/10; its paths follow. The case is the same.

--- a/review/9/case.cpp
+++ b/review/10/case.cpp
@@ -16,7 +16,7 @@
 int
 main()
 {
-  Deployment deployment("review/9/record.txt");
+  Deployment deployment("review/10/record.txt");
   for (const char* id : { "front-ktm-a-1", "front-ktm-b-1", "front-lal-c-1" }) {
     deployment.addInstance(id, std::string(id).substr(6, 5));
     deployment.addTarget("dispatch", std::string(id).substr(6, 5));
