Review case 9: a lost reader leaves the fleet on an intermediate configuration

Cause: the first of several configurations in one answer of the store is passed on with the position of the last one. A peer that gets just the first one never reads the others.

Change: a script case only; nothing is mended. The reader of the store is lost right after its messages about an answer with two configurations.

--- a/review/stand-ins-2/Platform.h
+++ b/review/stand-ins-2/Platform.h
@@ -223,6 +223,14 @@
     this->changed.notify_all();
   }
 
+  /// Cuts the watches of a prefix that are waiting now.
+  void cutWatches(const std::string& prefix)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    ++this->cuts[prefix];
+    this->changed.notify_all();
+  }
+
   /// Calls of an instance since the start, and the time of its last one.
   std::pair<std::size_t, double> callsOf(std::size_t reader)
   {
@@ -255,6 +263,7 @@
   std::deque<Event> events;
   std::uint64_t revision = 1;
   std::uint64_t forgotten = 0; ///< revision of the newest dropped event
+  std::map<std::string, std::size_t> cuts; ///< of each prefix
   std::map<std::size_t, std::size_t> calls;
   std::map<std::size_t, double> lastCall;
 
@@ -333,7 +342,7 @@
            ",\"as_of\":" + std::to_string(this->revision) + "}";
   }
 
-  /// Returns the status and the body of a watch.
+  /// Returns the status and the body of a watch; status 0 if it is cut.
   std::pair<int, std::string> watch(const std::string& target)
   {
     const std::string prefix = parameter(target, "prefix");
@@ -343,7 +352,11 @@
       std::atoi(parameter(target, "wait_ms").c_str()));
     const auto deadline = Clock::now() + wait;
     std::unique_lock<std::mutex> lock(this->mutex);
+    const std::size_t cutsBefore = this->cuts[prefix];
     while (true) {
+      if (this->cuts[prefix] != cutsBefore) {
+        return { 0, {} };
+      }
       this->trim();
       if (after < this->forgotten || after > this->revision) {
         return { 410, "{}" };
@@ -399,6 +412,10 @@
     } else if (target.starts_with("/-/kv-watch")) {
       std::tie(status, body) = this->watch(target);
     }
+    if (status == 0) {
+      close(client);
+      return;
+    }
     const std::string answer =
       "HTTP/1.1 " + std::to_string(status) +
       " X\r\nContent-Type: application/json\r\nStore-Era: "
@@ -824,10 +841,128 @@
   Address ready;
   Address operators;
   Address peers;
+  Address relay; ///< through which the others reach it; port 0: directly
   Address store;
   pid_t pid = -1;
 };
 
+/// The links between the instances, with the delays of the site's sheet. Every
+/// datagram of one instance to another passes through a relay.
+class Links
+{
+public:
+  Links(double inZone, double crossZone)
+    : inZone(inZone)
+    , crossZone(crossZone)
+  {
+  }
+
+  void add(const Address& relay, const Instance& instance)
+  {
+    this->ends.push_back(
+      { openSocket(SOCK_DGRAM, relay), instance.peers.raw(), instance.zone });
+    this->zoneOf[instance.ip] = instance.zone;
+  }
+
+  void start()
+  {
+    std::thread([this] { this->loop(); }).detach();
+  }
+
+  /// Number of datagrams that an instance has sent after a time.
+  std::size_t countSentAfter(const Instance& instance, double after)
+  {
+    const std::lock_guard<std::mutex> lock(this->mutex);
+    std::size_t count = 0;
+    for (const double at : this->sentAt[instance.ip]) {
+      count += at > after ? 1 : 0;
+    }
+    return count;
+  }
+
+private:
+  struct End
+  {
+    int fd;
+    sockaddr_in to;
+    std::string zone;
+  };
+  struct Delayed
+  {
+    std::size_t end;
+    std::string bytes;
+  };
+
+  double inZone;
+  double crossZone;
+  std::vector<End> ends;
+  std::map<std::uint32_t, std::string> zoneOf;
+  std::multimap<double, Delayed> queue;
+  std::mutex mutex;                                   ///< of what follows
+  std::map<std::uint32_t, std::deque<double>> sentAt; ///< newest datagrams
+
+  void loop()
+  {
+    std::vector<pollfd> fds;
+    for (const End& end : this->ends) {
+      fds.push_back({ end.fd, POLLIN, 0 });
+    }
+    while (true) {
+      const double wait =
+        this->queue.empty() ? 0.05 : this->queue.begin()->first - seconds();
+      const long nanoseconds = std::max(0L, static_cast<long>(wait * 1e9));
+      const timespec limit{ nanoseconds / 1000000000,
+                            nanoseconds % 1000000000 };
+      ppoll(fds.data(), fds.size(), &limit, nullptr);
+      for (std::size_t i = 0; i < fds.size(); ++i) {
+        if ((fds[i].revents & POLLIN) != 0) {
+          this->receive(i);
+        }
+      }
+      while (!this->queue.empty() && this->queue.begin()->first <= seconds()) {
+        const Delayed& next = this->queue.begin()->second;
+        const End& end = this->ends[next.end];
+        sendto(end.fd,
+               next.bytes.data(),
+               next.bytes.size(),
+               0,
+               reinterpret_cast<const sockaddr*>(&end.to),
+               sizeof end.to);
+        this->queue.erase(this->queue.begin());
+      }
+    }
+  }
+
+  void receive(std::size_t index)
+  {
+    char bytes[16384];
+    sockaddr_in from{};
+    socklen_t length = sizeof from;
+    ssize_t size = 0;
+    while ((size = recvfrom(this->ends[index].fd,
+                            bytes,
+                            sizeof bytes,
+                            MSG_DONTWAIT,
+                            reinterpret_cast<sockaddr*>(&from),
+                            &length)) > 0) {
+      const bool isNear =
+        this->zoneOf[ntohl(from.sin_addr.s_addr)] == this->ends[index].zone;
+      {
+        constexpr std::size_t kKept = 500;
+        const std::lock_guard<std::mutex> lock(this->mutex);
+        std::deque<double>& times = this->sentAt[ntohl(from.sin_addr.s_addr)];
+        times.push_back(seconds());
+        if (times.size() > kKept) {
+          times.pop_front();
+        }
+      }
+      this->queue.emplace(
+        seconds() + (isNear ? this->inZone : this->crossZone),
+        Delayed{ index, std::string(bytes, static_cast<std::size_t>(size)) });
+    }
+  }
+};
+
 /// What a caller saw of a request.
 struct Outcome
 {
@@ -1071,7 +1206,8 @@
   std::vector<Instance> instances;
   std::unique_ptr<Targets> targets;
   std::unique_ptr<Callers> callers;
-  std::uint16_t base = 0;  ///< first of the ports of this run
+  std::unique_ptr<Links> links; ///< null: instances reach each other directly
+  std::uint16_t base = 0;       ///< first of the ports of this run
   unsigned net = 0;        ///< second byte of this run's loopback addresses
   std::string grace = "6"; ///< the bound grace_s in the settings
 
@@ -1117,6 +1253,20 @@
     this->store.listenAt(instance.store, instance.index);
   }
 
+  /// Gives the links between all instances delays; called before the start.
+  void delayLinks(double inZone, double crossZone)
+  {
+    this->links = std::make_unique<Links>(inZone, crossZone);
+    for (Instance& instance : this->instances) {
+      instance.relay = {
+        makeIp(127, this->net, 5, static_cast<unsigned>(instance.index + 1)),
+        instance.peers.port
+      };
+      this->links->add(instance.relay, instance);
+    }
+    this->links->start();
+  }
+
   void addTarget(const std::string& service, const std::string& zone)
   {
     this->targets->add(
@@ -1294,7 +1444,9 @@
     std::string seeds;
     for (std::size_t i = 0; i < this->instances.size() && i < 3; ++i) {
       seeds += (i == 0 ? "\"" : ",\"") +
-               addressText(this->instances[i].operators) + "\"";
+               addressText(this->links ? this->instances[i].relay
+                                       : this->instances[i].operators) +
+               "\"";
     }
     std::map<std::string, std::string> values{
       { "node", instance.id },
@@ -1317,7 +1469,13 @@
     std::ifstream file("platform/settings.template.json");
     std::stringstream text;
     text << file.rdbuf();
-    return render(text.str(), values);
+    std::string settings = render(text.str(), values);
+    if (this->links) {
+      settings.insert(settings.find('{') + 1,
+                      "\n  \"peer_advertised_address\": \"" +
+                        addressText(instance.relay) + "\",");
+    }
+    return settings;
   }
 
   static std::string render(const std::string& text,
