The stand-in of the store gives every write of a key

An answer to a watch held only the newest write of each key, so no test, soak or emulator run could give a reader two configurations in one answer. The platform's page says that each event is an item as it was written.

Change: StoreData keeps a history of writes, which a watch gives from; dropping the history, copies and restores carry it. It keeps 50,000 writes.

--- a/standin/StoreData.cpp
+++ b/standin/StoreData.cpp
@@ -8,6 +8,8 @@
 namespace internal {
 
 constexpr unsigned kHistoryGone = 410;
+/// \brief Writes that the history keeps; older ones are dropped.
+constexpr std::size_t kMaxHistory = 50000;
 
 std::string
 encodeBase64(const std::string& bytes)
@@ -28,52 +30,62 @@
 void
 StoreData::put(const std::string& key, const std::string& value)
 {
-  Item& item = this->items[key];
-  const bool isNew = item.revision == 0 || item.isDeleted;
-  ++this->currentRevision;
-  item.createdRevision = isNew ? this->currentRevision : item.createdRevision;
+  const std::uint64_t revision = ++this->current.revision;
+  const auto [found, isNew] = this->current.items.try_emplace(key);
+  Item& item = found->second;
+  item.createdRevision = isNew ? revision : item.createdRevision;
   item.value = value;
-  item.revision = this->currentRevision;
-  item.isDeleted = false;
+  item.revision = revision;
+  this->record({ key, revision, value });
 }
 
 void
 StoreData::remove(const std::string& key)
 {
-  this->items[key] = Item{ {}, ++this->currentRevision, 0, true };
+  this->current.items.erase(key);
+  this->record({ key, ++this->current.revision, std::nullopt });
+}
+
+void
+StoreData::record(Change change)
+{
+  std::deque<Change>& history = this->current.history;
+  history.push_back(std::move(change));
+  if (history.size() > internal::kMaxHistory) {
+    this->current.droppedRevision = history.front().revision;
+    history.pop_front();
+  }
 }
 
 void
 StoreData::dropHistory()
 {
-  this->droppedRevision = ++this->currentRevision;
-  std::erase_if(this->items,
-                [](const auto& item) { return item.second.isDeleted; });
+  this->current.droppedRevision = ++this->current.revision;
+  this->current.history.clear();
 }
 
 void
 StoreData::restore(const Copy& from)
 {
-  this->items = from.items;
-  this->currentRevision = from.revision;
-  this->droppedRevision = std::min(this->droppedRevision, from.revision);
+  this->current = from;
   ++this->currentEra;
 }
 
 std::optional<std::string>
 StoreData::find(const std::string& key) const
 {
-  const auto found = this->items.find(key);
-  const bool exists = found != this->items.end() && !found->second.isDeleted;
-  return exists ? std::optional(found->second.value) : std::nullopt;
+  const auto found = this->current.items.find(key);
+  return found == this->current.items.end()
+           ? std::nullopt
+           : std::optional(found->second.value);
 }
 
 std::vector<std::string>
 StoreData::keys(const std::string& prefix) const
 {
   std::vector<std::string> found;
-  for (const auto& [key, item] : this->items) {
-    if (!item.isDeleted && key.starts_with(prefix)) {
+  for (const auto& [key, item] : this->current.items) {
+    if (key.starts_with(prefix)) {
       found.push_back(key);
     }
   }
@@ -88,8 +100,8 @@
   boost::json::object body;
   boost::json::array page;
   bool hasMore = false;
-  for (const auto& [key, item] : this->items) {
-    if (item.isDeleted || !key.starts_with(prefix) || key <= after) {
+  for (const auto& [key, item] : this->current.items) {
+    if (!key.starts_with(prefix) || key <= after) {
       continue;
     }
     if (page.size() == pageItems) {
@@ -104,7 +116,7 @@
   }
   body["items"] = std::move(page);
   body["has_more"] = hasMore;
-  body["as_of"] = this->currentRevision;
+  body["as_of"] = this->current.revision;
   return { 200, boost::json::serialize(body), hasMore };
 }
 
@@ -113,19 +125,27 @@
                  std::uint64_t after,
                  bool isExpired) const
 {
-  if (after < this->droppedRevision || after > this->currentRevision) {
+  if (after < this->current.droppedRevision || after > this->current.revision) {
     return StoreAnswer{ internal::kHistoryGone, {} };
   }
   boost::json::array events;
-  for (const auto& [key, item] : this->items) {
-    if (item.revision <= after || !key.starts_with(prefix)) {
+  const auto first =
+    std::upper_bound(this->current.history.begin(),
+                     this->current.history.end(),
+                     after,
+                     [](std::uint64_t revision, const Change& change) {
+                       return revision < change.revision;
+                     });
+  for (auto at = first; at != this->current.history.end(); ++at) {
+    if (!at->key.starts_with(prefix)) {
       continue;
     }
-    boost::json::object event{ { "key", key }, { "revision", item.revision } };
-    if (item.isDeleted) {
-      event["is_gone"] = true;
+    boost::json::object event{ { "key", at->key },
+                               { "revision", at->revision } };
+    if (at->value) {
+      event["value"] = internal::encodeBase64(*at->value);
     } else {
-      event["value"] = internal::encodeBase64(item.value);
+      event["is_gone"] = true;
     }
     events.push_back(std::move(event));
   }
@@ -134,7 +154,7 @@
   }
   boost::json::object body;
   body["events"] = std::move(events);
-  body["as_of"] = this->currentRevision;
+  body["as_of"] = this->current.revision;
   return StoreAnswer{ 200, boost::json::serialize(body) };
 }
 
--- a/standin/StoreData.h
+++ b/standin/StoreData.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -19,8 +20,8 @@
 };
 
 /// \brief Data of the platform's metadata store: keys that have revisions,
-/// paged listings, and a history of changes that can be dropped. It may be
-/// replaced by an older copy of itself.
+/// paged listings, and a history with every write, which can be dropped. It may
+/// be replaced by an older copy of itself.
 class StoreData
 {
   struct Item
@@ -28,7 +29,14 @@
     std::string value;
     std::uint64_t revision = 0;
     std::uint64_t createdRevision = 0;
-    bool isDeleted = false;
+  };
+
+  /// \brief A write of a key, or its removal.
+  struct Change
+  {
+    std::string key;
+    std::uint64_t revision = 0;
+    std::optional<std::string> value; ///< nothing if the key was removed
   };
 
 public:
@@ -36,7 +44,9 @@
   struct Copy
   {
     std::map<std::string, Item> items;
-    std::uint64_t revision = 0;
+    std::deque<Change> history; ///< the writes that are kept, oldest first
+    std::uint64_t revision = 1;
+    std::uint64_t droppedRevision = 0; ///< watches from before it get 410
   };
 
   void put(const std::string& key, const std::string& value);
@@ -47,7 +57,7 @@
   void dropHistory();
 
   /// \returns the present data.
-  Copy copy() const { return { this->items, this->currentRevision }; }
+  const Copy& copy() const { return this->current; }
   /// \brief Replaces the data by an older copy: revisions after the copy's are
   /// given out again, and the era increases.
   void restore(const Copy& from);
@@ -56,7 +66,7 @@
   std::optional<std::string> find(const std::string& key) const;
   /// \returns the keys with a prefix.
   std::vector<std::string> keys(const std::string& prefix) const;
-  std::uint64_t revision() const { return this->currentRevision; }
+  std::uint64_t revision() const { return this->current.revision; }
   std::uint64_t era() const { return this->currentEra; }
 
   /// \returns a page of the items whose keys have a prefix.
@@ -65,17 +75,17 @@
                    const std::string& after,
                    std::size_t pageItems) const;
 
-  /// \returns the changes after a revision; nothing if there are none, unless
-  /// \a isExpired
+  /// \returns all writes after a revision, also several of one key; nothing if
+  /// there are none, unless \a isExpired
   std::optional<StoreAnswer> watch(const std::string& prefix,
                                    std::uint64_t after,
                                    bool isExpired) const;
 
 private:
-  std::map<std::string, Item> items;
-  std::uint64_t currentRevision = 1;
-  std::uint64_t droppedRevision = 0; ///< watches from before it get 410
+  Copy current;
   std::uint64_t currentEra = 1;
+
+  void record(Change change);
 };
 
 }
