Routes and their position are one value: a lost reader leaves no old routes

Cause: each configuration of an answer got the position of the whole answer and was sent to peers before the next one was applied. Peers then watched from behind a version that they never had.

Why this works: PublishedRoutes carries all configurations of an answer with their position. They are applied, confirmed and sent once, so no message can hold the position with earlier routes. A peer's position is taken over only with the same version.

--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -200,8 +200,10 @@
   if (peer.routesVersion > this->board.routes.version() || isOfEarlierEra) {
     return;
   }
-  if (peer.routesEra && this->board.routes.loaded()) {
-    // Versions only increase, so this instance holds what the peer holds there.
+  const bool holdsSameRoutes =
+    this->board.routes.loaded() &&
+    peer.routesVersion == this->board.routes.version();
+  if (peer.routesEra && holdsSameRoutes) {
     this->board.advanceRoutes({ era, peer.routesRevision });
   }
   const MilliTime confirmedAt{ now.ms - peer.routesAge.ms };
@@ -532,11 +534,11 @@
 void
 ViewExchange::onRoutesUpdate(const ViewUpdate& update, MilliTime now)
 {
-  const bool isApplied = this->view.onRouteChanges(*update.routes, now);
-  if (isApplied && update.view.routesEra) {
-    this->board.advanceRoutes(
-      { *update.view.routesEra, update.view.routesRevision });
+  std::optional<StorePosition> asOf;
+  if (update.view.routesEra) {
+    asOf = { *update.view.routesEra, update.view.routesRevision };
   }
+  this->view.onRouteChanges(*update.routes, asOf, now);
 }
 
 }
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -84,24 +84,28 @@
 }
 
 void
-TagEngine::onRoutes(RouteTable table, const StorePosition& asOf, MilliTime now)
+TagEngine::onRoutes(PublishedRoutes published, MilliTime now)
 {
-  this->view.onRoutes(std::move(table), now);
-  this->onRoutesConfirmed(asOf, now);
+  const std::optional<StorePosition> asOf = published.asOf;
+  this->onStoreContact();
+  this->view.onRoutes(std::move(published), now);
+  if (asOf) {
+    this->onRoutesConfirmed(*asOf, now);
+  }
+  this->fleet.pushView(now);
+  if (asOf) {
+    this->fleet.announceConfirmation(now);
+  }
 }
 
 void
 TagEngine::onRoutesConfirmed(const StorePosition& asOf, MilliTime now)
 {
-  this->onStoreContact();
-  this->state.advanceRoutes(asOf);
   this->state.routesConfirmedAt = now;
   this->state.routesConfirmation = this->state.stampEvent(now);
   if (this->state.evacuations.position() >= asOf) {
     this->state.evacuationsConfirmedAt = now;
   }
-  this->fleet.pushView(now);
-  this->fleet.announceConfirmation(now);
 }
 
 void
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -50,13 +50,10 @@
   bool onTargetChanges(const TargetDelta& delta,
                        MilliTime readAt,
                        MilliTime now);
-  /// \brief Applies a route table from the platform.
-  /// \param asOf position at which it is the newest one
-  void onRoutes(RouteTable table, const StorePosition& asOf, MilliTime now);
-  /// \brief Handles the platform's confirmation that the routes are current.
-  /// \param asOf position up to which all changes of the routes were passed to
-  /// onRoutes(), and those of the evacuations likewise
-  void onRoutesConfirmed(const StorePosition& asOf, MilliTime now);
+  /// \brief Applies the configurations of one response of the platform, whose
+  /// evacuations have been applied. Without configurations, the response
+  /// confirms that the present routes are current.
+  void onRoutes(PublishedRoutes published, MilliTime now);
   /// \brief Applies the full list of evacuations from the platform.
   void onEvacuationListing(const EvacuationListing& listing, MilliTime now);
   /// \brief Applies changes of evacuations from the platform.
@@ -150,6 +147,7 @@
 
   void onStoreContact();
   void onTargetsConfirmed(MilliTime readAt, MilliTime now);
+  void onRoutesConfirmed(const StorePosition& asOf, MilliTime now);
 };
 
 }
--- a/buckthornwing/src/Steering/ViewController.cpp
+++ b/buckthornwing/src/Steering/ViewController.cpp
@@ -97,24 +97,33 @@
   }
 }
 
-bool
-ViewController::onRoutes(RouteTable table, MilliTime now)
+void
+ViewController::onRoutes(PublishedRoutes published, MilliTime now)
 {
-  if (!this->board.routes.apply(std::move(table))) {
-    return false;
+  bool isChanged = false;
+  for (RouteTable& table : published.tables) {
+    isChanged = this->board.routes.apply(std::move(table)) || isChanged;
+  }
+  if (published.asOf) {
+    this->board.advanceRoutes(*published.asOf);
+  }
+  if (isChanged) {
+    this->onNewRoutes(now);
   }
-  this->onNewRoutes(now);
-  return true;
 }
 
-bool
-ViewController::onRouteChanges(const RouteChanges& changes, MilliTime now)
+void
+ViewController::onRouteChanges(const RouteChanges& changes,
+                               const std::optional<StorePosition>& asOf,
+                               MilliTime now)
 {
   if (!this->board.routes.apply(changes)) {
-    return false;
+    return;
+  }
+  if (asOf) {
+    this->board.advanceRoutes(*asOf);
   }
   this->onNewRoutes(now);
-  return true;
 }
 
 void
--- a/buckthornwing/src/Steering/ViewController.h
+++ b/buckthornwing/src/Steering/ViewController.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNWING_VIEW_CONTROLLER_H
 #define BUCKTHORNWING_VIEW_CONTROLLER_H
 
+#include "../View/PublishedRoutes.h"
 #include "TagBlackboard.h"
 
 #include <set>
@@ -26,12 +27,15 @@
   bool onDelta(const TargetDelta& delta, MilliTime now);
   /// \brief Applies the full list of targets.
   void onListing(const TargetListing& listing, MilliTime now);
-  /// \brief Applies a route table.
-  /// \returns whether the table was accepted
-  bool onRoutes(RouteTable table, MilliTime now);
-  /// \brief Applies changes of the routes.
-  /// \returns whether the changes were accepted
-  bool onRouteChanges(const RouteChanges& changes, MilliTime now);
+  /// \brief Applies the configurations of one response of the store, then
+  /// their position.
+  void onRoutes(PublishedRoutes published, MilliTime now);
+  /// \brief Applies a peer's changes of the routes and, if they were accepted,
+  /// their position.
+  /// \param asOf nothing if the peer names none
+  void onRouteChanges(const RouteChanges& changes,
+                      const std::optional<StorePosition>& asOf,
+                      MilliTime now);
   /// \brief Applies the full list of evacuations.
   void onEvacuationListing(const EvacuationListing& listing, MilliTime now);
   /// \brief Applies changes of evacuations.
--- a/test/platform/StoreFleet.h
+++ b/test/platform/StoreFleet.h
@@ -3,6 +3,7 @@
 
 #include <platform/StoreInput.h>
 #include <standin/StoreData.h>
+#include <standin/StoreEntries.h>
 #include <test/tag/FleetWorld.h>
 
 #include <memory>
@@ -11,6 +12,16 @@
 
 namespace buckthornwing::test {
 
+/// \returns a configuration with one route, to the service "booking".
+inline std::string
+bookingConfiguration(std::uint64_t version)
+{
+  return standin::formatConfiguration(
+    version,
+    { { *parseEndpoint("203.0.113.1:443"), true, "booking" } },
+    { "booking" });
+}
+
 /// \brief Simulated fleet whose instances read a simulated store through the
 /// daemon's StoreCursor, in virtual time. Pages of listings are read one after
 /// another, so changes may fall between them.
@@ -73,6 +84,14 @@
     }
   }
 
+  /// \brief Advances the time while all targets answer.
+  void advance(MilliDuration span)
+  {
+    for (const MilliTime end = this->now + span; this->now < end;) {
+      this->step([](const TargetRecord&) { return true; });
+    }
+  }
+
   std::map<Endpoint, MilliTime> startedAt;
 
 private:
--- a/test/platform/evacuations.cpp
+++ b/test/platform/evacuations.cpp
@@ -21,7 +21,7 @@
 {
   EvacuatedFleet()
   {
-    this->store.put(std::string(platform::kRoutesKey), configuration());
+    this->store.put(std::string(platform::kRoutesKey), bookingConfiguration(1));
     for (int i = 1; i <= 3; ++i) {
       const std::string zone(1, "abc"[i - 1]);
       this->store.put("servers/i-" + std::to_string(i),
@@ -36,21 +36,6 @@
     this->advance(6_s);
   }
 
-  static std::string configuration(std::uint64_t version = 1)
-  {
-    return standin::formatConfiguration(
-      version,
-      { { *parseEndpoint("203.0.113.1:443"), true, "booking" } },
-      { "booking" });
-  }
-
-  void advance(MilliDuration span)
-  {
-    for (const MilliTime end = this->now + span; this->now < end;) {
-      this->step([](const TargetRecord&) { return true; });
-    }
-  }
-
   /// \returns the number of instances that send new flows to zone a.
   std::size_t placingInZoneA()
   {
--- a/test/platform/histories.cpp
+++ b/test/platform/histories.cpp
@@ -29,6 +29,8 @@
   restartTarget,
   rewriteTarget,
   changeConfiguration,
+  changeConfigurationTwice,
+  loseReaderAfterTwoChanges,
   keepCopy,
   restoreCopy,
   storeAway,
@@ -49,6 +51,10 @@
 constexpr MilliDuration kSettlingTime{ 4000 };
 /// \brief Time within which drains and configurations take effect.
 constexpr MilliDuration kApplyLimit{ 3200 };
+/// \brief Delay of a message between instances.
+constexpr MilliDuration kMessageDelay{ 5 };
+/// \brief Longest time that a reader needs to receive a change, if it can.
+constexpr MilliDuration kReadLimit{ 600 };
 
 /// \brief An event, with the thing it affects and the time until the next one.
 struct HistoryStep
@@ -90,6 +96,7 @@
 
   History()
   {
+    this->fleet.delay = kMessageDelay;
     this->copy = this->fleet.store.copy();
     this->writeConfiguration();
     for (int i = 0; i < 5; ++i) {
@@ -144,6 +151,9 @@
   std::map<Endpoint, MilliTime> disruptedAt; ///< the same for instances
   /// When the store accepted the newest version while it was stable.
   std::optional<MilliTime> versionAcceptedAt;
+  /// Versions of the configuration by the revisions of their writes, in the
+  /// store's present era.
+  std::map<std::uint64_t, std::uint64_t> versionsWritten;
   /// Draining targets that an instance has known as such, with their start.
   std::set<std::tuple<Endpoint, std::uint64_t, std::uint64_t>> knownDrains;
   std::uint64_t ticks = 0;
@@ -244,6 +254,7 @@
     }
     this->fleet.store.put(std::string(platform::kRoutesKey),
                           this->configuration());
+    this->versionsWritten[this->fleet.store.revision()] = this->version;
     if (!this->versionAcceptedAt && this->isStoreStable()) {
       this->versionAcceptedAt = this->fleet.now;
     }
@@ -298,9 +309,16 @@
         }
         break;
       case Event::changeConfiguration:
-        this->versionAcceptedAt.reset();
-        this->version += 1 + choice % 3;
-        this->writeConfiguration();
+        this->changeConfiguration(choice);
+        break;
+      case Event::changeConfigurationTwice:
+        this->changeConfiguration(choice);
+        this->changeConfiguration(choice);
+        break;
+      case Event::loseReaderAfterTwoChanges:
+        this->changeConfiguration(choice);
+        this->changeConfiguration(choice);
+        this->loseReader();
         break;
       default:
         this->disrupt(event, choice);
@@ -308,6 +326,31 @@
     }
   }
 
+  void changeConfiguration(std::size_t choice)
+  {
+    this->versionAcceptedAt.reset();
+    this->version += 1 + choice % 3;
+    this->writeConfiguration();
+  }
+
+  /// \brief Waits until an instance holds the newest version, and cuts it off
+  /// when it has sent its first messages.
+  void loseReader()
+  {
+    const MilliTime end = this->fleet.now + kReadLimit;
+    while (this->fleet.now < end) {
+      this->run(10_ms);
+      for (const auto& [address, engine] : this->fleet.engines) {
+        if (engine->board().routes.version() == this->version) {
+          this->fleet.run(kMessageDelay);
+          this->fleet.disconnected[address] = true;
+          this->fleet.cutFromStore.insert(address);
+          return;
+        }
+      }
+    }
+  }
+
   void disrupt(Event event, std::size_t choice)
   {
     switch (event) {
@@ -317,6 +360,7 @@
       case Event::restoreCopy:
         this->fleet.restoreStore(this->copy);
         this->fleet.isStoreAway = false;
+        this->versionsWritten.clear();
         this->restoredAt = this->fleet.now;
         this->storeDisruptedAt = this->fleet.now;
         break;
@@ -435,6 +479,7 @@
         return target != nullptr && target->isRunning;
       });
       this->recordDisruptions();
+      this->checkPositions();
       ++this->ticks;
       if (this->ticks % 60 == 0) {
         this->renewEntries();
@@ -499,6 +544,23 @@
     this->flows.push_back({ key, placed.tag, number, target->born });
   }
 
+  /// \brief Whoever holds a position holds the configuration that the store
+  /// had there, or a later one.
+  void checkPositions()
+  {
+    for (const auto& [address, engine] : this->fleet.engines) {
+      const TagBlackboard& board = engine->board();
+      const StorePosition position =
+        board.routesPosition.value_or(StorePosition{});
+      const auto next = this->versionsWritten.upper_bound(position.revision);
+      const bool isKnown = position.era == this->fleet.store.era() &&
+                           next != this->versionsWritten.begin();
+      if (isKnown) {
+        RC_ASSERT(board.routes.version() >= std::prev(next)->second);
+      }
+    }
+  }
+
   void checkConfigurations()
   {
     const bool isDue = this->versionAcceptedAt &&
--- a/test/tag/TagFixture.h
+++ b/test/tag/TagFixture.h
@@ -181,7 +181,7 @@
 {
   const StorePosition asOf = positionAt(table.version);
   engine.onEvacuationListing({ asOf, {} }, now);
-  engine.onRoutes(std::move(table), asOf, now);
+  engine.onRoutes({ { std::move(table) }, asOf }, now);
 }
 
 /// \brief Lets the store confirm the present targets, routes and evacuations of
@@ -196,7 +196,7 @@
     held.push_back({ evacuation.zone, evacuation.version });
   }
   engine.onEvacuationListing({ position, held }, now);
-  engine.onRoutesConfirmed(position, now);
+  engine.onRoutes({ {}, position }, now);
 }
 
 /// \brief One engine with a loaded view and a clock that the test advances.
--- a/test/tag/store_eras.cpp
+++ b/test/tag/store_eras.cpp
@@ -407,6 +407,24 @@
   cr_assert(board.routesPosition == std::optional(positionAt(5)));
 }
 
+/// Guards against a position that a peer's heartbeat spreads to instances with
+/// other routes than the peer's.
+Test(positions, a_peer_with_other_routes_raises_no_position)
+{
+  FleetWorld world;
+  const Endpoint first = world.add("a", 1);
+  world.load(first, 5);
+  FleetMessage message = messageOfStranger("entry-9", "a");
+  FleetHeartbeat heartbeat;
+  heartbeat.view.routesVersion = 3;
+  heartbeat.view.routesRevision = 50;
+  heartbeat.view.routesEra = 0;
+  message.body = heartbeat;
+  world.at(first).onFleetMessage(message, world.now);
+  const TagBlackboard& board = world.at(first).board();
+  cr_assert(board.routesPosition == std::optional(positionAt(5)));
+}
+
 /// Guards against an instance of the version before, which names no eras and is
 /// not understood while a fleet is rolled.
 Test(store_eras, an_update_that_names_no_era_is_of_the_present_one)
