Any form of a figure lets a process start: fractions, 6.0, true, false, none

Cause: stop_within_s was read as an integer of 1 to 3,600, so 5.5, 6.0, 0, 0.5, 4000, true and false ended the process; a missing figure made the file no JSON. registration_heartbeat_ms had the same limits, and the other four figures refused true and false.

Why this works: all figures of the template are read by JsonReader::decimalOrFlag(): any number within bounds that catch typing errors only; a boolean, null or nothing leaves the default. Integers may be written as 6.0 in all files. Errors name the number found, and the line of a syntax error.

--- a/buckthornwing/src/Config/JsonReader.cpp
+++ b/buckthornwing/src/Config/JsonReader.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <sstream>
 
 namespace buckthornwing {
 namespace internal {
@@ -27,6 +28,15 @@
   return row.back();
 }
 
+/// \returns a number without an exponent where it is short enough.
+std::string
+formatDecimal(double number)
+{
+  std::ostringstream text;
+  text << number;
+  return text.str();
+}
+
 }
 
 std::string
@@ -41,7 +51,7 @@
     case boost::json::kind::uint64:
       return "the number " + boost::json::serialize(value);
     case boost::json::kind::double_:
-      return "a non-integer number";
+      return "the number " + internal::formatDecimal(value.get_double());
     case boost::json::kind::string:
       return "the string " + boost::json::serialize(value);
     case boost::json::kind::array:
@@ -108,10 +118,11 @@
     return nullptr;
   }
   const boost::json::value* value = this->object->if_contains(name);
-  if (value == nullptr && required) {
+  const bool isMissing = value == nullptr || value->is_null();
+  if (isMissing && required) {
     this->report(name, "expected a value for this required field, found none");
   }
-  return value;
+  return isMissing ? nullptr : value;
 }
 
 std::string
@@ -144,8 +155,7 @@
   }
   boost::json::error_code error;
   const auto number = value->to_number<std::uint64_t>(error);
-  const bool isInteger = value->is_int64() || value->is_uint64();
-  if (error || !isInteger || number < min || number > max) {
+  if (error || number < min || number > max) {
     this->report(name,
                  "expected an integer from " + std::to_string(min) + " to " +
                    std::to_string(max) + ", found " + describeKind(*value));
@@ -175,6 +185,17 @@
   return number;
 }
 
+double
+JsonReader::decimalOrFlag(std::string_view name,
+                          double min,
+                          double max,
+                          double defaultValue)
+{
+  const boost::json::value* value = this->field(name, false);
+  const bool isFlag = value != nullptr && value->is_bool();
+  return isFlag ? defaultValue : this->decimal(name, min, max, defaultValue);
+}
+
 std::size_t
 JsonReader::choice(std::string_view name,
                    std::initializer_list<std::string_view> names,
--- a/buckthornwing/src/Config/JsonReader.h
+++ b/buckthornwing/src/Config/JsonReader.h
@@ -32,16 +32,16 @@
              Problems& problems);
 
   /// \returns the field's value, or null if it is missing, which is a problem
-  /// if \a required.
+  /// if \a required. A JSON null counts as missing.
   const boost::json::value* field(std::string_view name, bool required);
 
   /// \returns the field's string; empty if it is missing or not a string.
   /// A missing or empty string is a problem if \a required.
   std::string text(std::string_view name, bool required = true);
 
-  /// \returns the field's integer if it is from \a min to \a max, \a min
-  /// otherwise; \a defaultValue if the field is missing. A missing field
-  /// without \a defaultValue is a problem.
+  /// \returns the field's integer, which may be written as 6.0, if it is from
+  /// \a min to \a max, \a min otherwise; \a defaultValue if the field is
+  /// missing. A missing field without \a defaultValue is a problem.
   std::uint64_t number(
     std::string_view name,
     std::uint64_t min,
@@ -55,6 +55,13 @@
                  double max,
                  double defaultValue);
 
+  /// \returns the same as decimal(), and \a defaultValue if the field is a
+  /// boolean: it says whether there is a figure, and names none.
+  double decimalOrFlag(std::string_view name,
+                       double min,
+                       double max,
+                       double defaultValue);
+
   /// \returns the index of the field's string in \a names, 0 if it is not among
   /// them; \a defaultValue if the field is missing. A missing field without
   /// \a defaultValue is a problem.
--- a/buckthornwing/src/Io/SettingsText.cpp
+++ b/buckthornwing/src/Io/SettingsText.cpp
@@ -1,5 +1,6 @@
 #include "SettingsText.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 
 namespace buckthornwing::internal {
@@ -11,6 +12,20 @@
 
 }
 
+std::string
+describeSyntaxError(std::string_view text)
+{
+  boost::json::stream_parser parser;
+  boost::json::error_code code;
+  const std::size_t parsed = parser.write_some(text.data(), text.size(), code);
+  if (!code) {
+    parser.finish(code);
+  }
+  const std::string_view before = text.substr(0, parsed);
+  const auto line = 1 + std::count(before.begin(), before.end(), '\n');
+  return code.message() + " in line " + std::to_string(line);
+}
+
 std::string
 joinProblems(const Problems& problems)
 {
--- a/buckthornwing/src/Io/SettingsText.h
+++ b/buckthornwing/src/Io/SettingsText.h
@@ -13,6 +13,10 @@
 
 namespace buckthornwing::internal {
 
+/// \returns what is wrong with a text that is not JSON, and in which line.
+std::string
+describeSyntaxError(std::string_view text);
+
 /// \returns all problems as "path: expectation", separated by semicolons.
 std::string
 joinProblems(const Problems& problems);
@@ -41,8 +45,8 @@
   boost::json::error_code code;
   const boost::json::value document = boost::json::parse(text, code);
   if (code) {
-    return boost::leaf::new_error(
-      Error{ step, fileName, "$: expected JSON: " + code.message() });
+    return boost::leaf::new_error(Error{
+      step, fileName, "$: expected JSON: " + describeSyntaxError(text) });
   }
   Problems problems;
   JsonReader reader(document, "$", problems);
--- a/buckthornwing/src/Io/TagServerSettings.cpp
+++ b/buckthornwing/src/Io/TagServerSettings.cpp
@@ -4,18 +4,20 @@
 #include "SettingsText.h"
 
 #include <boost/json.hpp>
+#include <cmath>
 
 namespace buckthornwing {
 namespace internal {
 
-constexpr std::uint64_t kMaxStopSeconds = 3600;
+constexpr double kMaxStopSeconds = 1'000'000;
+constexpr double kMsPerSecond = 1000;
 constexpr double kMaxLinkMegabits = 1'000'000;
 constexpr double kMaxCores = 1000;
 constexpr double kMaxWarmupOverage = 1000;
 constexpr double kMaxWarmupSlack = 1'000'000;
-constexpr std::uint64_t kMaxHeartbeatMs = 60000;
+constexpr double kMaxHeartbeatMs = 10'000'000;
 /// \brief Missed heartbeats after which the store removes a registration.
-constexpr std::int64_t kHeartbeatsPerLifetime = 3;
+constexpr double kHeartbeatsPerLifetime = 3;
 /// \brief Time until the removal of a registration is known here.
 constexpr MilliDuration kRemovalDelay{ 1000 };
 /// \brief Hash seed that separates the tag secret from other values derived
@@ -55,23 +57,23 @@
   settings.store = reader.endpoint("store");
   settings.fleetKey = parseFleetKey(reader);
   settings.tag.tagSecret = hashText(settings.fleetKey, kTagSecretDomain);
-  const auto seconds = reader.number("stop_within_s", 1, kMaxStopSeconds, 6);
-  settings.stopTimeout.ms = static_cast<std::int64_t>(seconds) * 1000;
-  const auto heartbeat =
-    reader.number("registration_heartbeat_ms", 1, kMaxHeartbeatMs, 2000);
+  settings.stopTimeout.ms =
+    std::llround(kMsPerSecond *
+                 reader.decimalOrFlag("stop_within_s", 0, kMaxStopSeconds, 6));
+  const double heartbeatMs =
+    reader.decimalOrFlag("registration_heartbeat_ms", 0, kMaxHeartbeatMs, 2000);
   settings.tag.registrationLifetime.ms =
-    kHeartbeatsPerLifetime * static_cast<std::int64_t>(heartbeat) +
-    kRemovalDelay.ms;
+    std::llround(kHeartbeatsPerLifetime * heartbeatMs) + kRemovalDelay.ms;
   settings.logLevel = static_cast<TagLogLevel>(
     reader.choice("log_level", { "changes", "decisions", "packets" }, 1));
   settings.tag.seeds = parseSeeds(reader, problems);
   settings.tag.linkMegabits =
-    reader.decimal("link_mbps", 0, kMaxLinkMegabits, 0);
-  settings.tag.cpuShare = reader.decimal("cpu_share", 0, kMaxCores, 0);
+    reader.decimalOrFlag("link_mbps", 0, kMaxLinkMegabits, 0);
+  settings.tag.cpuShare = reader.decimalOrFlag("cpu_share", 0, kMaxCores, 0);
   settings.tag.warmupOverage =
-    reader.decimal("warmup_overage", 0, kMaxWarmupOverage, 1);
+    reader.decimalOrFlag("warmup_overage", 0, kMaxWarmupOverage, 1);
   settings.tag.warmupSlack =
-    reader.decimal("warmup_slack", 0, kMaxWarmupSlack, 0);
+    reader.decimalOrFlag("warmup_slack", 0, kMaxWarmupSlack, 0);
   settings.tag.isFirstStart = reader.flag("first_start", false);
   settings.tag.policy = parsePolicy(reader);
   return settings;
