A settings file that a reload refused shows in /metrics and /status

What operators saw: one line reload_refused in the log, and then, at the next restart, a process that does not start.

Change: settings_refused is 1 in /metrics and names the problems in /status from a refused reload until one that is accepted.

--- a/buckthornwing/src/Io/TagDaemon.h
+++ b/buckthornwing/src/Io/TagDaemon.h
@@ -74,9 +74,9 @@
         return {};
       },
       [&](const Error& error) {
-        this->server.logRejectedReload(formatError(error));
+        this->server.rejectReload(formatError(error));
       },
-      [&] { this->server.logRejectedReload("unknown reason"); });
+      [&] { this->server.rejectReload("unknown reason"); });
   }
 };
 
--- a/buckthornwing/src/Io/TagReport.cpp
+++ b/buckthornwing/src/Io/TagReport.cpp
@@ -246,6 +246,11 @@
                 "gauge",
                 "Version of the routes in force",
                 board.routes.version());
+  writer.single("settings_refused",
+                "gauge",
+                "1 if the last reload refused the settings file, with which a "
+                "start would fail",
+                host.refusedSettings ? 1 : 0);
   writer.single("evacuated_zones",
                 "gauge",
                 "Zones whose targets take no new flows",
@@ -282,6 +287,9 @@
   status["overload_refusals"] = internal::refusalsByPriority(board.counters);
   status["packets"] = host.packets;
   status["store_calls"] = host.storeCalls;
+  status["settings_refused"] = host.refusedSettings
+                                 ? boost::json::value(*host.refusedSettings)
+                                 : boost::json::value(nullptr);
   boost::json::array targets;
   for (TargetSlot slot = 0; slot < board.registry.targets().size(); ++slot) {
     const KnownTarget& target = board.registry.at(slot);
--- a/buckthornwing/src/Io/TagReport.h
+++ b/buckthornwing/src/Io/TagReport.h
@@ -5,6 +5,7 @@
 #include "TrafficMeter.h"
 
 #include <array>
+#include <optional>
 #include <string>
 
 namespace buckthornwing {
@@ -25,6 +26,9 @@
   std::uint64_t storeFailures = 0;
   LatencyHistogram storeListings; ///< from the request to the complete list
   std::uint64_t logLinesLost = 0;
+  /// Problems of the settings file when it was last read by a reload; nothing
+  /// if it was accepted.
+  std::optional<std::string> refusedSettings;
 };
 
 /// \returns the body of /metrics in the Prometheus text format.
--- a/buckthornwing/src/Io/TagServer.h
+++ b/buckthornwing/src/Io/TagServer.h
@@ -150,12 +150,14 @@
   {
     this->log.setLevel(newSettings.logLevel);
     this->settings.stopTimeout = newSettings.stopTimeout;
+    this->counters.refusedSettings.reset();
     this->log.note("reload", "new settings applied");
   }
 
-  /// \brief Logs that new settings were rejected.
-  void logRejectedReload(const std::string& problem)
+  /// \brief Reports that new settings were rejected.
+  void rejectReload(const std::string& problem)
   {
+    this->counters.refusedSettings = problem;
     this->log.note("reload_refused", problem);
   }
 
--- a/test/platform/server.cpp
+++ b/test/platform/server.cpp
@@ -137,3 +137,26 @@
     return loopback.status(server).find("\"reset\":1") != std::string::npos;
   }));
 }
+
+/// Guards against a bad settings file that shows only when each restarted
+/// process fails.
+Test(server, refused_settings_are_visible_until_accepted_ones)
+{
+  Loopback loopback;
+  Server& server = loopback.launch("entry-1");
+  const auto isShown = [&] {
+    const bool isMeasured =
+      loopback.query(server, "/metrics")
+        .body.find("\nbuckthornwing_settings_refused 1\n") != std::string::npos;
+    const bool isInStatus =
+      loopback.status(server).find(R"("settings_refused":"$.seeds: wrong")") !=
+      std::string::npos;
+    cr_assert_eq(isMeasured, isInStatus);
+    return isMeasured;
+  };
+  cr_assert_not(isShown());
+  server.rejectReload("$.seeds: wrong");
+  cr_assert(isShown());
+  server.reload({});
+  cr_assert_not(isShown());
+}
