An open flow without a route is reset only by routes read after it was seen

Cause: UnknownRoutes::isRemoved() took a drop in this instance's history as proof and skipped the wait for a younger confirmation by the store.

Why this works: the flow was opened before its first packet came here, and the restoring version was published before that. Routes that are complete up to a later time (routesCompleteAt) contain it, so only such routes prove a drop. The same wait covers flows whose target is unknown here as well, which were reset at once.

--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -38,7 +38,8 @@
       auto& engine = this->engines[settings.advertisedAddress];
       engine = std::make_unique<TagEngine>(settings);
       engine->onEvacuationListing({ kLoadedAt, {} }, this->now);
-      engine->onRoutes({ { listRoutes(targets) }, kLoadedAt }, this->now);
+      engine->onRoutes(
+        { { listRoutes(targets) }, kLoadedAt }, this->now, this->now);
       engine->onTargetListing({ kLoadedAt, changes }, this->now, this->now);
       this->openFlows(*engine, static_cast<std::uint32_t>(i), targets);
     }
@@ -65,7 +66,7 @@
       for (auto& [address, engine] : this->engines) {
         engine->onTargetChanges(
           { kLoadedAt, kLoadedAt, {} }, this->now, this->now);
-        engine->onRoutes({ {}, kLoadedAt }, this->now);
+        engine->onRoutes({ {}, kLoadedAt }, this->now, this->now);
         engine->tick(this->now);
         for (auto& message : engine->takeOutgoing()) {
           sent.push_back(std::move(message));
--- a/bench/tagged.cpp
+++ b/bench/tagged.cpp
@@ -30,7 +30,8 @@
   {
     const auto changes = listTargets(targets);
     this->engine.onEvacuationListing({ kLoadedAt, {} }, this->now);
-    this->engine.onRoutes({ { listRoutes(targets) }, kLoadedAt }, this->now);
+    this->engine.onRoutes(
+      { { listRoutes(targets) }, kLoadedAt }, this->now, this->now);
     this->engine.onTargetListing({ kLoadedAt, changes }, this->now, this->now);
   }
 
@@ -179,7 +180,7 @@
     fixture.now = fixture.now + kTagTickPeriod;
     fixture.engine.onTargetChanges(
       { kLoadedAt, kLoadedAt, {} }, fixture.now, fixture.now);
-    fixture.engine.onRoutes({ {}, kLoadedAt }, fixture.now);
+    fixture.engine.onRoutes({ {}, kLoadedAt }, fixture.now, fixture.now);
     fixture.engine.tick(fixture.now);
     benchmark::DoNotOptimize(fixture.engine.takeOutgoing());
   }
--- a/buckthornwing/src/Core/MilliTime.h
+++ b/buckthornwing/src/Core/MilliTime.h
@@ -32,6 +32,12 @@
   return MilliTime{ time.ms + span.ms };
 }
 
+constexpr MilliTime
+operator-(MilliTime time, MilliDuration span)
+{
+  return MilliTime{ time.ms - span.ms };
+}
+
 constexpr MilliDuration
 operator-(MilliTime later, MilliTime earlier)
 {
--- a/buckthornwing/src/Fleet/ViewExchange.cpp
+++ b/buckthornwing/src/Fleet/ViewExchange.cpp
@@ -186,7 +186,7 @@
   }
   this->board.targetsConfirmedAt = confirmedAt;
   this->board.targetsConfirmation = peer.targetsConfirmation;
-  const MilliTime completeAt{ confirmedAt.ms - internal::kMaxMessageDelay.ms };
+  const MilliTime completeAt = confirmedAt - internal::kMaxMessageDelay;
   this->board.targetsCompleteAt =
     std::max(this->board.targetsCompleteAt, completeAt);
 }
@@ -223,6 +223,9 @@
   if (confirmedAt > this->board.routesConfirmedAt) {
     this->board.routesConfirmedAt = confirmedAt;
     this->board.routesConfirmation = peer.routesConfirmation;
+    const MilliTime completeAt = confirmedAt - internal::kMaxMessageDelay;
+    this->board.routesCompleteAt =
+      std::max(this->board.routesCompleteAt, completeAt);
   }
 }
 
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -270,13 +270,15 @@
 {
   SteeringDecision decision =
     this->resetOrDrop({}, SteeringReason::noRoute, now);
-  const bool isTagKnown =
-    packet.tag.bits != 0 &&
-    this->board.tags.find(this->board.registry, packet.tag, packet.flow) !=
-      kNoTargetSlot;
+  // The target may be as new as the route, so its tag need not be known here;
+  // only a caller's reset of an unknown flow is not worth holding.
+  const bool isTagged =
+    packet.isReset
+      ? this->board.tags.find(this->board.registry, packet.tag, packet.flow) !=
+          kNoTargetSlot
+      : packet.tag.bits != 0;
   const bool mayBeNew =
-    isTagKnown && !this->unknownRoutes.isRemoved(
-                    this->board, packet.flow.destination, id, now);
+    isTagged && !this->unknownRoutes.isRemoved(this->board, packet, id, now);
   if (mayBeNew) {
     decision.outcome = SteeringOutcome::hold;
   }
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -87,6 +87,7 @@
   MilliTime targetsCompleteAt{};
   MilliTime routesConfirmedAt{}; ///< like targetsConfirmedAt
   EventStamp routesConfirmation;
+  MilliTime routesCompleteAt{}; ///< like targetsCompleteAt
   /// Like routesConfirmedAt. Differs from it only if peers of a version that
   /// doesn't know evacuations confirm the routes.
   MilliTime evacuationsConfirmedAt{};
@@ -206,6 +207,7 @@
   StorePosition targets;
   std::uint64_t routesVersion = 0;
   MilliTime targetsCompleteAt{};
+  MilliTime routesCompleteAt{};
   bool isComplete = false; ///< see TagBlackboard::hasView()
 
   bool operator==(const ViewVersion&) const = default;
@@ -219,6 +221,7 @@
   return { board.registry.position(),
            board.routes.version(),
            board.targetsCompleteAt,
+           board.routesCompleteAt,
            board.hasView() };
 }
 
--- a/buckthornwing/src/Steering/TagEngine.cpp
+++ b/buckthornwing/src/Steering/TagEngine.cpp
@@ -84,13 +84,13 @@
 }
 
 void
-TagEngine::onRoutes(PublishedRoutes published, MilliTime now)
+TagEngine::onRoutes(PublishedRoutes published, MilliTime readAt, MilliTime now)
 {
   const std::optional<StorePosition> asOf = published.asOf;
   this->onStoreContact();
   this->view.onRoutes(std::move(published), now);
   if (asOf) {
-    this->onRoutesConfirmed(*asOf, now);
+    this->onRoutesConfirmed(*asOf, readAt, now);
   }
   this->fleet.pushView(now);
   if (asOf) {
@@ -99,8 +99,11 @@
 }
 
 void
-TagEngine::onRoutesConfirmed(const StorePosition& asOf, MilliTime now)
+TagEngine::onRoutesConfirmed(const StorePosition& asOf,
+                             MilliTime readAt,
+                             MilliTime now)
 {
+  this->state.routesCompleteAt = std::max(this->state.routesCompleteAt, readAt);
   this->state.routesConfirmedAt = now;
   this->state.routesConfirmation = this->state.stampEvent(now);
   if (this->state.evacuations.position() >= asOf) {
--- a/buckthornwing/src/Steering/TagEngine.h
+++ b/buckthornwing/src/Steering/TagEngine.h
@@ -53,7 +53,8 @@
   /// \brief Applies the configurations of one response of the platform, whose
   /// evacuations have been applied. Without configurations, the response
   /// confirms that the present routes are current.
-  void onRoutes(PublishedRoutes published, MilliTime now);
+  /// \param readAt a time not later than the platform's read of the routes
+  void onRoutes(PublishedRoutes published, MilliTime readAt, MilliTime now);
   /// \brief Applies the full list of evacuations from the platform.
   void onEvacuationListing(const EvacuationListing& listing, MilliTime now);
   /// \brief Applies changes of evacuations from the platform.
@@ -147,7 +148,9 @@
 
   void onStoreContact();
   void onTargetsConfirmed(MilliTime readAt, MilliTime now);
-  void onRoutesConfirmed(const StorePosition& asOf, MilliTime now);
+  void onRoutesConfirmed(const StorePosition& asOf,
+                         MilliTime readAt,
+                         MilliTime now);
 };
 
 }
--- a/buckthornwing/src/Steering/UnknownTargets.cpp
+++ b/buckthornwing/src/Steering/UnknownTargets.cpp
@@ -8,8 +8,6 @@
 /// \brief Time after a store failure during which entries may be missing. Live
 /// targets register again within 2 s of the store's recovery.
 constexpr MilliDuration kRegistryRecovery{ 2500 };
-/// \brief Above this number the flows are cleared, to limit memory.
-constexpr std::size_t kMaxUnknownFlows = 10000;
 /// \brief Shortest time between two full reads of the registry.
 constexpr MilliDuration kListingPeriod{ 1000 };
 
@@ -20,10 +18,7 @@
                               FlowId flow,
                               MilliTime now)
 {
-  if (this->firstSeen.size() >= internal::kMaxUnknownFlows) {
-    this->firstSeen.clear();
-  }
-  const MilliTime seen = this->firstSeen.try_emplace(flow, now).first->second;
+  const MilliTime seen = this->undecided.firstSeen(flow, now);
   const MilliTime uncertainAt =
     std::max(board.registry.lastStoreFailure(), board.registry.loadedAt());
   const bool isWell = now - uncertainAt > internal::kRegistryRecovery;
@@ -31,7 +26,7 @@
     this->needsListing = this->needsListing || isWell;
     return false;
   }
-  this->firstSeen.erase(flow);
+  this->undecided.remove(flow);
   return true;
 }
 
--- a/buckthornwing/src/Steering/UnknownTargets.h
+++ b/buckthornwing/src/Steering/UnknownTargets.h
@@ -2,8 +2,7 @@
 #define BUCKTHORNWING_UNKNOWN_TARGETS_H
 
 #include "TagBlackboard.h"
-
-#include <boost/unordered/unordered_flat_map.hpp>
+#include "UndecidedFlows.h"
 
 namespace buckthornwing {
 
@@ -28,8 +27,7 @@
 private:
   bool needsListing = false; ///< a flow waits for a newer list of targets
   MilliTime nextListing{};   ///< earliest time of the next full read
-  /// Time at which a packet of each undecided flow was first seen.
-  boost::unordered_flat_map<FlowId, MilliTime, std::hash<FlowId>> firstSeen;
+  UndecidedFlows undecided;
 };
 
 }
--- a/buckthornwing/src/View/RouteIndex.cpp
+++ b/buckthornwing/src/View/RouteIndex.cpp
@@ -126,15 +126,4 @@
            : &this->table.routes[found->second];
 }
 
-bool
-RouteIndex::wasRemoved(const Endpoint& destination) const
-{
-  return !this->byDestination.contains(destination) &&
-         std::any_of(this->removals.begin(),
-                     this->removals.end(),
-                     [&destination](const Removal& removal) {
-                       return removal.destination == destination;
-                     });
-}
-
 }
--- a/buckthornwing/src/View/RouteIndex.h
+++ b/buckthornwing/src/View/RouteIndex.h
@@ -49,10 +49,6 @@
   /// \returns the route to a destination, or null.
   const Route* find(const Endpoint& destination) const;
 
-  /// \returns whether a destination has no route now, but had one in a version
-  /// of the history.
-  bool wasRemoved(const Endpoint& destination) const;
-
   std::uint64_t version() const { return this->table.version; }
   /// \returns whether any table was applied.
   bool loaded() const { return this->table.version > 0; }
