A flow of a dead target is reset only by a probe that was sent after it was seen

What callers would see: a target starts again under its id, a flow is opened to the new process through an instance that knows it, and moves to one that found the former process dead. That instance reset it at once.

Cause: decideForDeadTarget() and resetFlowsOf() used a verdict on a target without asking whether it is younger than the flow. Tags name a target by its id, so they fit both processes.

Why this works: TargetHealth::foundDeadAt is the start of the newest probe that failed; only flows seen by then have ended. Other packets are forwarded, and a probe is requested, once a second at most. The first packet of a moved flow no longer makes a dead target trusted. A reset that was lost is sent again.

--- a/buckthornwing/src/Observation/FlowObserver.cpp
+++ b/buckthornwing/src/Observation/FlowObserver.cpp
@@ -37,10 +37,16 @@
 
 const TrackedFlow*
 FlowObserver::find(FlowId id) const
+{
+  const TrackedFlow* flow = this->findOpenOrClosed(id);
+  return flow != nullptr && !flow->closed ? flow : nullptr;
+}
+
+const TrackedFlow*
+FlowObserver::findOpenOrClosed(FlowId id) const
 {
   const auto found = this->flows.find(id);
-  const bool isOpen = found != this->flows.end() && !found->second.closed;
-  return isOpen ? &found->second : nullptr;
+  return found == this->flows.end() ? nullptr : &found->second;
 }
 
 const TargetLoad&
--- a/buckthornwing/src/Observation/FlowObserver.h
+++ b/buckthornwing/src/Observation/FlowObserver.h
@@ -70,6 +70,8 @@
 
   /// \returns an open flow, or null if it is unknown or closed.
   const TrackedFlow* find(FlowId id) const;
+  /// \returns a flow that is open or was closed a short time ago, or null.
+  const TrackedFlow* findOpenOrClosed(FlowId id) const;
   /// \returns the load of a target; an empty one if nothing is known of it.
   const TargetLoad& load(TargetSlot target) const;
   /// \returns the load of a target, created if it is missing.
--- a/buckthornwing/src/Observation/TargetHealth.h
+++ b/buckthornwing/src/Observation/TargetHealth.h
@@ -56,6 +56,9 @@
   bool hasLeft = false; ///< it is dead, and its registration was removed
   MilliTime changedAt{};
   MilliTime probedAt{}; ///< start of the most recent probe
+  /// Start of the newest probe that found the target dead. It proves the end of
+  /// flows that were open by then: the target may have started again since.
+  MilliTime foundDeadAt{};
   MilliTime nextProbeAt{};
   /// No new flows until then, because a peer found the target dead.
   MilliTime reportedDeadUntil{};
--- a/buckthornwing/src/Steering/FlowResetController.cpp
+++ b/buckthornwing/src/Steering/FlowResetController.cpp
@@ -21,7 +21,8 @@
   for (const auto& [id, flow] : this->board.observer.all()) {
     const bool benefits =
       benefitsFromReset(flow) || (hasLeft && flow.established);
-    if (flow.target == target && !flow.closed && benefits) {
+    if (flow.target == target && !flow.closed && benefits &&
+        this->board.hasLostTarget(flow)) {
       resetFlows.push_back({ flow.key, flow.acknowledged, target, hasLeft });
       ids.push_back(id);
     }
--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -96,6 +96,20 @@
   this->markSuspected(target, now, "target left the registry");
 }
 
+void
+HealthController::onPacketForDeadTarget(TargetSlot target, MilliTime now)
+{
+  this->requestProbeIfDue(target, now);
+}
+
+void
+HealthController::requestProbeIfDue(TargetSlot target, MilliTime now)
+{
+  if (now >= this->board.healthFor(target).nextProbeAt) {
+    this->requestProbe(target, now);
+  }
+}
+
 void
 HealthController::markSuspected(TargetSlot target,
                                 MilliTime now,
@@ -125,9 +139,10 @@
 }
 
 void
-HealthController::markDead(TargetSlot target, MilliTime now)
+HealthController::markDead(TargetSlot target, MilliTime probedAt, MilliTime now)
 {
   TargetHealth& health = this->board.healthFor(target);
+  health.foundDeadAt = std::max(health.foundDeadAt, probedAt);
   if (health.state == HealthState::dead) {
     return;
   }
@@ -165,8 +180,7 @@
                     now);
   if (result == ProbeResult::alive) {
     this->onAnswer(target, now);
-  } else if (this->board.lastTickGap <= internal::kMaxTickGap &&
-             health.state == HealthState::suspected) {
+  } else if (this->board.lastTickGap <= internal::kMaxTickGap) {
     this->onFailedProbe(target, result, now);
   }
   if (isControl) {
@@ -193,7 +207,8 @@
   if (result == ProbeResult::alive) {
     this->onAnswer(target, now);
   } else if (this->board.healthState(target) == HealthState::suspected) {
-    this->markDead(target, now);
+    const MilliDuration age = kProbeTimeout + kLateResponseTime;
+    this->markDead(target, now - age, now);
   } else {
     this->markSuspected(target, now, "a late probe answer reported a failure");
   }
@@ -214,8 +229,11 @@
                                 MilliTime now)
 {
   TargetHealth& health = this->board.healthFor(target);
-  if (result != ProbeResult::silent) {
-    this->markDead(target, now);
+  if (health.state == HealthState::trusted) {
+    return;
+  }
+  if (result != ProbeResult::silent || health.state == HealthState::dead) {
+    this->markDead(target, health.probedAt, now);
     return;
   }
   ++health.failedProbes;
@@ -334,7 +352,7 @@
     // The target has made progress since it was suspected, here or at a peer.
     this->discardFailedProbes(target, now);
   } else if (health.failedProbes >= internal::kMinSilentProbes) {
-    this->markDead(target, now);
+    this->markDead(target, health.probedAt, now);
   } else {
     this->requestProbe(target, now);
   }
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -40,6 +40,10 @@
   /// \brief Handles a packet for a target that left the registry.
   void onPacketForRemovedTarget(TargetSlot target, MilliTime now);
 
+  /// \brief Handles a packet of a flow that was not known here when its target
+  /// was found dead.
+  void onPacketForDeadTarget(TargetSlot target, MilliTime now);
+
   /// \brief Handles a connection that a target's address accepted after the
   /// probe was reported as ProbeResult::silent.
   ///
@@ -85,7 +89,8 @@
   void markSuspected(TargetSlot target, MilliTime now, const char* cause);
   void onAnswer(TargetSlot target, MilliTime now);
   void markTrusted(TargetSlot target, MilliTime now);
-  void markDead(TargetSlot target, MilliTime now);
+  /// \param probedAt start of the probe that found it dead
+  void markDead(TargetSlot target, MilliTime probedAt, MilliTime now);
   bool wasSilentControl(TargetSlot slot, MilliTime now) const;
   bool isEligibleAsControl(TargetSlot slot, TargetSlot target) const;
   /// \returns whether a target's zone is evacuated and no flow of this instance
@@ -101,6 +106,8 @@
   /// target becomes dead or is probed again.
   void onConfirmedTimeout(TargetSlot target, MilliTime now);
   void onFailedProbe(TargetSlot target, ProbeResult result, MilliTime now);
+  /// \brief Requests a probe unless one was sent a short time ago.
+  void requestProbeIfDue(TargetSlot target, MilliTime now);
   void probeIfDue(TargetSlot slot, MilliTime now);
   void requestProbe(TargetSlot target, MilliTime now);
   void reportProbe(TargetSlot target, const std::string& found, MilliTime now);
--- a/buckthornwing/src/Steering/SteeringController.cpp
+++ b/buckthornwing/src/Steering/SteeringController.cpp
@@ -131,6 +131,13 @@
         this->board.registry.at(decision.target).key, now);
       break;
     case Observation::established:
+      // The handshake of a flow that came from another instance may be older
+      // than the death of its target.
+      if (this->board.observer.find(id)->openingSeen ||
+          this->board.healthState(decision.target) != HealthState::dead) {
+        this->health.onProgress(decision.target, now);
+      }
+      break;
     case Observation::progressed:
       this->health.onProgress(decision.target, now);
       break;
@@ -256,7 +263,7 @@
     this->health.onPacketForRemovedTarget(decision.target, now);
   }
   if (this->board.healthState(decision.target) == HealthState::dead) {
-    return this->decideForDeadTarget(packet, id, decision);
+    return this->decideForDeadTarget(packet, id, decision, now);
   }
   decision.outcome = SteeringOutcome::forward;
   decision.reason = SteeringReason::tagged;
@@ -288,7 +295,8 @@
 SteeringDecision
 SteeringController::decideForDeadTarget(const CallerPacket& packet,
                                         FlowId id,
-                                        SteeringDecision decision)
+                                        SteeringDecision decision,
+                                        MilliTime now)
 {
   const KnownTarget& target = this->board.registry.at(decision.target);
   const TrackedFlow* flow = this->board.observer.find(id);
@@ -297,7 +305,15 @@
   // answer until the registry reports the target as gone.
   const bool mayHaveRun = decision.route->kind == RouteKind::nonIdempotent &&
                           (flow == nullptr || flow->requested);
-  if (packet.isReset || packet.isFinish || (mayHaveRun && !isGone)) {
+  // A reset that was lost is sent again, so a closed flow counts too.
+  const TrackedFlow* known = this->board.observer.findOpenOrClosed(id);
+  const bool mayBeOpen = known == nullptr || known->target != decision.target ||
+                         !this->board.hasLostTarget(*known);
+  if (mayBeOpen) {
+    this->health.onPacketForDeadTarget(decision.target, now);
+  }
+  if (packet.isReset || packet.isFinish || mayBeOpen ||
+      (mayHaveRun && !isGone)) {
     decision.outcome = SteeringOutcome::forward;
     decision.reason = SteeringReason::tagged;
     return decision;
--- a/buckthornwing/src/Steering/SteeringController.h
+++ b/buckthornwing/src/Steering/SteeringController.h
@@ -83,7 +83,8 @@
                           MilliTime now);
   SteeringDecision decideForDeadTarget(const CallerPacket& packet,
                                        FlowId id,
-                                       SteeringDecision decision);
+                                       SteeringDecision decision,
+                                       MilliTime now);
   /// \returns a reset if the view is fresh, otherwise a drop, because an old
   /// view may lack a new route or target.
   SteeringDecision resetOrDrop(SteeringDecision decision,
--- a/buckthornwing/src/Steering/TagBlackboard.h
+++ b/buckthornwing/src/Steering/TagBlackboard.h
@@ -141,6 +141,14 @@
             now < this->health[target].reportedDeadUntil);
   }
 
+  /// \returns whether the target of a flow is known to have died since this
+  /// instance first saw the flow.
+  bool hasLostTarget(const TrackedFlow& flow) const
+  {
+    return this->healthState(flow.target) == HealthState::dead &&
+           flow.openedAt <= this->health[flow.target].foundDeadAt;
+  }
+
   /// \returns the time at which a flow of the target last made progress or a
   /// probe was answered, at this instance or at a peer.
   MilliTime lastProgress(TargetSlot target) const
--- a/buckthornwing/src/Steering/UnknownRoutes.cpp
+++ b/buckthornwing/src/Steering/UnknownRoutes.cpp
@@ -21,7 +21,8 @@
                          FlowId flow,
                          MilliTime now)
 {
-  const TrackedFlow* tracked = board.observer.find(flow);
+  // A reset that was lost is sent again, so a closed flow counts too.
+  const TrackedFlow* tracked = board.observer.findOpenOrClosed(flow);
   const bool isCarried = tracked != nullptr && tracked->tag == packet.tag;
   return isCarried ? tracked->openedAt : this->undecided.firstSeen(flow, now);
 }
--- a/test/tag/flow_resets.cpp
+++ b/test/tag/flow_resets.cpp
@@ -93,6 +93,8 @@
   publishRoutes(world.behind.engine, twoRoutes(7), world.behind.now);
   const auto next = flowPacket(packet.flow, packet.tag, 1100, 1, 100);
   cr_assert(world.behind.send(next).outcome == SteeringOutcome::reset);
+  cr_assert(world.behind.send(next).outcome == SteeringOutcome::reset,
+            "the first reset may have been lost");
 }
 
 /// Guards against resets of open flows whose route and target are both newer
@@ -141,3 +143,131 @@
   confirmByPeer(10);
   cr_assert(world.behind.send(packet).outcome == SteeringOutcome::reset);
 }
+
+namespace {
+
+/// \returns the registration of a target that started at a time.
+TargetChange
+startedAt(std::uint64_t revision, std::uint64_t incarnation)
+{
+  TargetChange change = listed(1, revision);
+  change.record.incarnation = incarnation;
+  return change;
+}
+
+/// \brief One target, which this instance has found dead. It starts again, and
+/// a caller opens a flow through an instance that knows this.
+struct TargetStartedAgain
+{
+  EngineFixture ahead{ 1, {}, "entry-1" };
+  EngineFixture behind{ 1, {}, "entry-2" };
+  TargetSlot target = kNoTargetSlot;
+
+  TargetStartedAgain()
+  {
+    const auto placed = this->behind.open(flowOf(1));
+    this->target = placed.target;
+    const auto request = flowPacket(flowOf(1), placed.tag, 1000, 1, 100);
+    this->behind.send(request);
+    this->behind.run(300_ms);
+    this->behind.send(request);
+    this->report(ProbeResult::refused);
+    cr_assert(this->isDead());
+    cr_assert_eq(this->behind.engine.takeFlowsToReset().size(), 1);
+    this->behind.run(300_ms);
+  }
+
+  bool isDead() const
+  {
+    return this->behind.engine.board().healthState(this->target) ==
+           HealthState::dead;
+  }
+
+  /// \brief Reports a result for all probes that were requested.
+  void report(ProbeResult result)
+  {
+    for (const TargetSlot slot : this->behind.engine.takeProbes()) {
+      this->behind.engine.onProbeResult(slot, result, this->behind.now);
+    }
+  }
+
+  /// \returns a packet of a flow that was opened at the instance ahead.
+  CallerPacket open(const FlowKey& flow)
+  {
+    const TargetChange again = startedAt(300, 2);
+    changeTargets(
+      this->ahead.engine, 300, std::span(&again, 1), this->ahead.now);
+    const auto placed = this->ahead.open(flow);
+    cr_assert(placed.outcome == SteeringOutcome::forward);
+    return flowPacket(flow, placed.tag, 1000, 1, 100);
+  }
+};
+
+}
+
+/// Guards against resets of a new process's flows because this instance found
+/// the target's former process dead.
+Test(flow_resets, a_probe_before_the_flow_was_seen_resets_no_flow)
+{
+  for (const bool isGone : { false, true }) {
+    TargetStartedAgain world;
+    if (isGone) {
+      const TargetChange left = gone(1, 200);
+      changeTargets(
+        world.behind.engine, 200, std::span(&left, 1), world.behind.now);
+    }
+    const CallerPacket packet = world.open(flowOf(2));
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::forward);
+    cr_assert(world.isDead(), "a packet is no answer");
+    world.behind.run(1_s);
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::forward);
+    world.report(ProbeResult::alive);
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::forward);
+    cr_assert_not(world.isDead());
+  }
+}
+
+/// Guards against callers of a dead target that wait because their flows moved
+/// here after it was found dead.
+Test(flow_resets, a_probe_after_the_flow_was_seen_resets_it)
+{
+  for (const bool isGone : { false, true }) {
+    TargetStartedAgain world;
+    const CallerPacket packet = world.open(flowOf(2));
+    if (isGone) {
+      const TargetChange left = gone(1, 200);
+      changeTargets(
+        world.behind.engine, 200, std::span(&left, 1), world.behind.now);
+    }
+    world.behind.run(1_s);
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::forward);
+    world.report(ProbeResult::refused);
+    world.behind.run(1_s);
+    world.behind.send(packet);
+    world.report(ProbeResult::refused);
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::reset);
+    cr_assert(world.behind.send(packet).outcome == SteeringOutcome::reset,
+              "the first reset may have been lost");
+  }
+}
+
+/// Guards against resets of flows that were opened after the probe that found
+/// their target dead had been sent.
+Test(flow_resets, a_flow_younger_than_the_probe_is_not_swept)
+{
+  EngineFixture world(1);
+  const auto placed = world.open(flowOf(1));
+  const auto request = flowPacket(flowOf(1), placed.tag, 1000, 1, 100);
+  world.send(request);
+  world.run(300_ms);
+  world.send(request);
+  cr_assert_eq(world.engine.takeProbes().size(), 1);
+  world.run(100_ms);
+  const auto moved = world.engine.board().tags.mint(
+    world.engine.board().registry, flowOf(3), placed.target);
+  world.send(flowPacket(flowOf(3), moved, 1000, 1, 100));
+  world.engine.onProbeResult(placed.target, ProbeResult::refused, world.now);
+  const auto toReset = world.engine.takeFlowsToReset();
+  cr_assert_eq(toReset.size(), 1);
+  cr_assert(toReset[0].flow == flowOf(1));
+}
