A refused probe does not end the flows of a target that is listed as draining

A draining target keeps its flows; that it accepts the connections of probes is nowhere said.

Why this works: while the registration says draining, a refusal leaves the target suspected. Once the registration is gone, or another target answers at the address, a failed probe proves the end. A suspected target that has left is probed when a packet comes; before, it was not probed any more.

--- a/buckthornwing/src/Steering/HealthController.cpp
+++ b/buckthornwing/src/Steering/HealthController.cpp
@@ -7,8 +7,8 @@
 namespace buckthornwing {
 namespace internal {
 
-/// \brief Consecutive timed-out probes after which a target is dead. Any other
-/// failure, such as a refused connection, is conclusive at once.
+/// \brief Consecutive timed-out probes after which a target is dead. See
+/// HealthController::provesEnd() for other failures.
 constexpr std::uint8_t kMinSilentProbes = 2;
 /// \brief Time between probes of a target that is not trusted.
 constexpr MilliDuration kUntrustedProbePeriod{ 1000 };
@@ -94,6 +94,9 @@
 HealthController::onPacketForRemovedTarget(TargetSlot target, MilliTime now)
 {
   this->markSuspected(target, now, "target left the registry");
+  if (this->board.healthState(target) == HealthState::suspected) {
+    this->requestProbeIfDue(target, now);
+  }
 }
 
 void
@@ -208,7 +211,9 @@
     this->onAnswer(target, now);
   } else if (this->board.healthState(target) == HealthState::suspected) {
     const MilliDuration age = kProbeTimeout + kLateResponseTime;
-    this->markDead(target, now - age, now);
+    if (this->provesEnd(target, result)) {
+      this->markDead(target, now - age, now);
+    }
   } else {
     this->markSuspected(target, now, "a late probe answer reported a failure");
   }
@@ -223,6 +228,16 @@
   this->onProgress(target, now);
 }
 
+bool
+HealthController::provesEnd(TargetSlot target, ProbeResult result) const
+{
+  const KnownTarget& known = this->board.registry.at(target);
+  const bool isDraining = known.presence != TargetPresence::gone &&
+                          known.record.state == TargetState::draining;
+  return result == ProbeResult::otherTarget ||
+         (result == ProbeResult::refused && !isDraining);
+}
+
 void
 HealthController::onFailedProbe(TargetSlot target,
                                 ProbeResult result,
@@ -232,7 +247,13 @@
   if (health.state == HealthState::trusted) {
     return;
   }
-  if (result != ProbeResult::silent || health.state == HealthState::dead) {
+  if (result != ProbeResult::silent) {
+    if (this->provesEnd(target, result)) {
+      this->markDead(target, health.probedAt, now);
+    }
+    return;
+  }
+  if (health.state == HealthState::dead) {
     this->markDead(target, health.probedAt, now);
     return;
   }
--- a/buckthornwing/src/Steering/HealthController.h
+++ b/buckthornwing/src/Steering/HealthController.h
@@ -106,6 +106,10 @@
   /// target becomes dead or is probed again.
   void onConfirmedTimeout(TargetSlot target, MilliTime now);
   void onFailedProbe(TargetSlot target, ProbeResult result, MilliTime now);
+  /// \returns whether a probe that was answered shows that the target's process
+  /// has ended. A draining one may refuse connections while it serves its
+  /// flows, until its registration is removed.
+  bool provesEnd(TargetSlot target, ProbeResult result) const;
   /// \brief Requests a probe unless one was sent a short time ago.
   void requestProbeIfDue(TargetSlot target, MilliTime now);
   void probeIfDue(TargetSlot slot, MilliTime now);
--- a/test/tag/flow_resets.cpp
+++ b/test/tag/flow_resets.cpp
@@ -271,3 +271,92 @@
   cr_assert_eq(toReset.size(), 1);
   cr_assert(toReset[0].flow == flowOf(1));
 }
+
+namespace {
+
+/// \returns the registration of the target that EngineFixture lists first.
+TargetChange
+draining(std::uint64_t revision)
+{
+  return listed(1, revision, "booking", "a", TargetState::draining);
+}
+
+/// \brief One draining target with an open flow, whose caller retransmits.
+struct DrainingTarget
+{
+  EngineFixture instance{ 1 };
+  SteeringDecision placed;
+  CallerPacket request;
+
+  DrainingTarget()
+  {
+    this->placed = this->instance.open(flowOf(1));
+    this->instance.run(3_s);
+    const TargetChange drain = draining(200);
+    changeTargets(
+      this->instance.engine, 200, std::span(&drain, 1), this->instance.now);
+    this->request = flowPacket(flowOf(1), this->placed.tag, 1000, 1, 100);
+    this->instance.send(this->request);
+    this->instance.run(300_ms);
+    this->instance.send(this->request);
+  }
+
+  /// \brief Reports a result for all probes that were requested.
+  /// \returns the number of the probes
+  std::size_t report(ProbeResult result)
+  {
+    const auto probes = this->instance.engine.takeProbes();
+    for (const TargetSlot slot : probes) {
+      this->instance.engine.onProbeResult(slot, result, this->instance.now);
+    }
+    return probes.size();
+  }
+
+  bool isReset()
+  {
+    return !this->instance.engine.takeFlowsToReset().empty() ||
+           this->instance.send(this->request).outcome == SteeringOutcome::reset;
+  }
+};
+
+}
+
+/// Guards against resets of flows that a draining target serves although it
+/// refuses new connections.
+Test(flow_resets, a_draining_target_that_refuses_connections_loses_no_flow)
+{
+  DrainingTarget world;
+  for (int second = 0; second < 5; ++second) {
+    cr_assert_eq(world.report(ProbeResult::refused), 1);
+    cr_assert_not(world.isReset());
+    world.instance.run(1_s);
+  }
+}
+
+/// Guards against callers of a draining target that has ended, which wait until
+/// their deadlines because it is not probed any more.
+Test(flow_resets, a_drained_target_that_left_and_refuses_loses_its_flows)
+{
+  DrainingTarget world;
+  cr_assert_eq(world.report(ProbeResult::refused), 1);
+  const TargetChange left = gone(1, 201);
+  changeTargets(
+    world.instance.engine, 201, std::span(&left, 1), world.instance.now);
+  world.instance.run(1_s);
+  cr_assert_not(world.isReset());
+  cr_assert_eq(world.report(ProbeResult::refused), 1);
+  cr_assert(world.isReset());
+}
+
+/// Guards against a late refusal that counts as proof although one in time
+/// doesn't.
+Test(flow_resets, a_late_refusal_of_a_draining_target_resets_no_flow)
+{
+  DrainingTarget world;
+  world.instance.engine.takeProbes();
+  world.instance.engine.onProbeResult(
+    world.placed.target, ProbeResult::silent, world.instance.now);
+  world.instance.engine.onLateResult(
+    world.placed.target, ProbeResult::refused, world.instance.now);
+  cr_assert_not(world.isReset());
+}
