--- a/buckthornwing/src/Io/HttpClient.cpp
+++ b/buckthornwing/src/Io/HttpClient.cpp
@@ -83,6 +83,8 @@
     result.failure = std::string(step) + ": " + code.message();
     result.connected = this->connected;
     result.refused = code == boost::asio::error::connection_refused;
+    result.tooLarge = code == http::error::body_limit;
+    result.cutOff = this->responseStarted && !result.tooLarge;
     this->hooks.done(std::move(result));
   }
 
--- a/buckthornwing/src/Io/HttpClient.h
+++ b/buckthornwing/src/Io/HttpClient.h
@@ -23,6 +23,8 @@
   HttpFields fields;            ///< response headers
   bool connected = false;       ///< the TCP connection was established
   bool refused = false;         ///< the TCP connection was refused
+  bool cutOff = false;          ///< the response began and did not end
+  bool tooLarge = false;        ///< it exceeds HttpLimits::maxBodyBytes
   MilliDuration transferTime{}; ///< from the response's first bytes to its last
   std::string failure;          ///< "step: cause" if the status is 0
 };
