--- a/test/platform/large_answers.cpp
+++ b/test/platform/large_answers.cpp
@@ -116,3 +116,19 @@
     cr_assert(cursor.next({}).isWatch);
   }
 }
+
+/// Guards against a listing that exceeds the memory of a small instance: values
+/// that are no registration are kept until the last page has come.
+Test(large_answers, a_value_too_large_for_a_registration_is_not_kept)
+{
+  const auto sizeOf = [](const std::string& key, std::size_t bytes) {
+    standin::StoreData store;
+    store.put(key, std::string(bytes, 'x'));
+    const auto response = parseStoreResponse(store.list(key, "", 1).body);
+    cr_assert_eq(response->items.size(), 1);
+    return response->items[0].value.size();
+  };
+  cr_assert_eq(sizeOf("servers/i-1", 20000), 20000);
+  cr_assert_eq(sizeOf("servers/i-1", kLargeBytes), 0);
+  cr_assert_eq(sizeOf("op/config", kLargeBytes), kLargeBytes);
+}
