The soak drops and restores routes, kills after two changes, and writes large entries

Three faults are added: two changes at once and the loss of an instance within 150 ms, a route that is dropped and restored within 3 s, six entries of 1 MB by another writer. The stand-in bounds its history by 32 MiB.

--- a/soak/Faults.cpp
+++ b/soak/Faults.cpp
@@ -1,9 +1,15 @@
 #include "Faults.h"
 
+#include <platform/StoreItems.h>
+
 namespace buckthornwing::soak {
 namespace internal {
 
 constexpr std::int64_t kMinGapMs = 50;
+/// \brief Entries of another writer that together exceed what an instance takes
+/// in one answer.
+constexpr std::size_t kLargeEntries = 6;
+constexpr std::size_t kLargeEntryBytes = 1000000;
 /// \brief Time within which targets write again what the store has lost.
 constexpr MilliDuration kRewriteTime{ 2000 };
 /// \brief Maximum time between two faults in ms; the seed selects one. With
@@ -130,6 +136,11 @@
   this->injectors.emplace_back(
     [this] { this->expireRegistrations(this->randomDuration(1000, 4000)); });
   this->injectors.emplace_back([this] { this->dropHistory(); });
+  this->injectors.emplace_back([this] {
+    if (this->randomBelow(3) == 0) {
+      this->writeLargeEntries(this->randomDuration(100, 2000));
+    }
+  });
   this->injectors.emplace_back([this] {
     const MilliDuration after = this->randomDuration(500, 3000);
     this->drill(after, this->randomDuration(200, 1000));
@@ -164,6 +175,16 @@
 {
   this->injectors.emplace_back([this] { this->changeRoute(); });
   this->injectors.emplace_back([this] { this->changeRoute(); });
+  this->injectors.emplace_back([this] {
+    // A reader that receives both in one answer may be the one that is killed.
+    this->changeRoutes(2, MilliDuration{});
+    this->parts.timers.after(this->randomDuration(1, 150), [this] {
+      this->parts.instances.kill(this->randomInstance(),
+                                 this->randomDuration(100, 2500));
+    });
+  });
+  this->injectors.emplace_back(
+    [this] { this->dropAndRestore(this->randomDuration(1, 3000)); });
 }
 
 void
@@ -207,6 +228,38 @@
   this->parts.routes.change(route, service);
 }
 
+void
+Faults::dropAndRestore(MilliDuration after)
+{
+  // The first two routes are never dropped.
+  const std::size_t route =
+    2 + this->randomBelow(emulator::Routes::kRouteCount - 2);
+  const std::optional<std::string> service =
+    this->parts.routes.serviceOf(route);
+  this->parts.guarantees.recordFault("route_drop", std::to_string(route));
+  this->parts.routes.change(route, std::nullopt);
+  this->parts.timers.after(after, [this, route, service] {
+    this->parts.routes.change(
+      route, service.value_or(this->parts.routes.services().front()));
+  });
+}
+
+void
+Faults::writeLargeEntries(MilliDuration removeAfter)
+{
+  this->parts.guarantees.count("fault_large_entries");
+  const std::string prefix = std::string(platform::kTargetKeyPrefix) + "large-";
+  for (std::size_t i = 0; i < internal::kLargeEntries; ++i) {
+    this->parts.store.put(prefix + std::to_string(i),
+                          std::string(internal::kLargeEntryBytes, '\xff'));
+  }
+  this->parts.timers.after(removeAfter, [this, prefix] {
+    for (std::size_t i = 0; i < internal::kLargeEntries; ++i) {
+      this->parts.store.remove(prefix + std::to_string(i));
+    }
+  });
+}
+
 void
 Faults::evacuate(const std::string& zone, MilliDuration duration)
 {
--- a/soak/Faults.h
+++ b/soak/Faults.h
@@ -69,6 +69,10 @@
   void endStoreFault();
   void beginDrill(const standin::StoreData::Copy& copy, MilliDuration awayFor);
   void changeRoute();
+  /// \brief Drops a route and publishes it again.
+  void dropAndRestore(MilliDuration after);
+  /// \brief Another writer adds entries that make one answer very large.
+  void writeLargeEntries(MilliDuration removeAfter);
 };
 
 }
--- a/standin/StoreData.cpp
+++ b/standin/StoreData.cpp
@@ -8,8 +8,8 @@
 namespace internal {
 
 constexpr unsigned kHistoryGone = 410;
-/// \brief Writes that the history keeps; older ones are dropped.
-constexpr std::size_t kMaxHistory = 50000;
+/// \brief Size of the values that the history keeps; older writes are dropped.
+constexpr std::size_t kMaxHistoryBytes = 32UL * 1024 * 1024;
 
 std::string
 encodeBase64(const std::string& bytes)
@@ -49,9 +49,14 @@
 void
 StoreData::record(Change change)
 {
+  const auto sizeOf = [](const Change& each) {
+    return each.key.size() + (each.value ? each.value->size() : 0);
+  };
   std::deque<Change>& history = this->current.history;
+  this->current.historyBytes += sizeOf(change);
   history.push_back(std::move(change));
-  if (history.size() > internal::kMaxHistory) {
+  while (this->current.historyBytes > internal::kMaxHistoryBytes) {
+    this->current.historyBytes -= sizeOf(history.front());
     this->current.droppedRevision = history.front().revision;
     history.pop_front();
   }
@@ -62,6 +67,7 @@
 {
   this->current.droppedRevision = ++this->current.revision;
   this->current.history.clear();
+  this->current.historyBytes = 0;
 }
 
 void
--- a/standin/StoreData.h
+++ b/standin/StoreData.h
@@ -44,7 +44,8 @@
   struct Copy
   {
     std::map<std::string, Item> items;
-    std::deque<Change> history; ///< the writes that are kept, oldest first
+    std::deque<Change> history;   ///< the writes that are kept, oldest first
+    std::size_t historyBytes = 0; ///< of their values
     std::uint64_t revision = 1;
     std::uint64_t droppedRevision = 0; ///< watches from before it get 410
   };
