--- a/review/stand-ins-3/fleet.h
+++ b/review/stand-ins-3/fleet.h
@@ -321,8 +321,7 @@
     : address(newAddress)
     , record(newRecord)
   {
-    server.start(address,
-                 [this](const std::string& target) { return serve(target); });
+    listen(server, address);
   }
   ~Store()
   {
@@ -330,6 +329,16 @@
     changed.notify_all();
   }
 
+  /// \brief Answers at a further address, with the same data.
+  void listenAlso(const Address& further) { listen(furtherServer, further); }
+  /// \brief No longer answers at the first address.
+  void closeFirst()
+  {
+    server->closing = true;
+    changed.notify_all();
+    server.reset();
+  }
+
   /// \brief Writes a key. Its return is the acknowledgement.
   void put(const std::string& key, const std::string& value)
   {
@@ -390,7 +399,17 @@
   std::deque<Event> history;
   std::uint64_t revision = 10;
   std::atomic<bool> closing{ false };
-  HttpServer server;
+  std::unique_ptr<HttpServer> server;
+  std::unique_ptr<HttpServer> furtherServer;
+
+  void listen(std::unique_ptr<HttpServer>& at, const Address& here)
+  {
+    at = std::make_unique<HttpServer>();
+    at->start(here,
+              [this, &isClosing = at->closing](const std::string& target) {
+                return serve(target, isClosing);
+              });
+  }
 
   static std::string query(const std::string& target, const std::string& name)
   {
@@ -409,7 +428,8 @@
       200, "Content-Type: application/json\r\nStore-Era: 1\r\n", body);
   }
 
-  std::string serve(const std::string& target)
+  std::string serve(const std::string& target,
+                    const std::atomic<bool>& isClosing)
   {
     const std::string prefix = query(target, "prefix");
     std::unique_lock<std::mutex> lock(mutex);
@@ -458,7 +478,7 @@
       }
       return !events.empty();
     };
-    while (!collect() && !closing && !server.closing &&
+    while (!collect() && !closing && !isClosing &&
            changed.wait_until(lock, until) != std::cv_status::timeout) {
     }
     return answer("{\"events\":[" + events +
@@ -1043,12 +1063,18 @@
   }
   ~Instance() { kill(); }
 
+  /// \brief Replaces the store's address in the settings file.
+  void moveStore(const Address& from, const Address& to)
+  {
+    const std::string old = "\"" + from.text() + "\"";
+    text.replace(text.find(old), old.size(), "\"" + to.text() + "\"");
+    writeSettings();
+  }
+
   void start()
   {
-    const std::string file = folder + "/" + settings.id + ".json";
-    std::FILE* out = std::fopen(file.c_str(), "w");
-    std::fputs(text.c_str(), out);
-    std::fclose(out);
+    writeSettings();
+    const std::string file = settingsFile();
     const std::string log = folder + "/" + settings.id + ".log";
     pid = ::fork();
     if (pid == 0) {
@@ -1101,6 +1127,20 @@
   std::string folder;
   std::string text;
   pid_t pid = -1;
+
+  std::string settingsFile() const
+  {
+    return folder + "/" + settings.id + ".json";
+  }
+  /// \brief Puts a new file in the place of the old one.
+  void writeSettings() const
+  {
+    const std::string fresh = settingsFile() + ".new";
+    std::FILE* out = std::fopen(fresh.c_str(), "w");
+    std::fputs(text.c_str(), out);
+    std::fclose(out);
+    std::rename(fresh.c_str(), settingsFile().c_str());
+  }
 };
 
 inline bool
