--- a/review/stand-ins-3/moved-store.cpp
+++ b/review/stand-ins-3/moved-store.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Case 13: the settings files change and name another address of the
+/// \brief Case 15: the settings files change and name another address of the
 /// store. Changes that are acknowledged there must be in force in time.
 
 #include "fleet.h"
--- a/review/stand-ins-3/odd-service.cpp
+++ b/review/stand-ins-3/odd-service.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Case 12: another writer writes an entry of a service that no
+/// \brief Case 13: another writer writes an entry of a service that no
 /// configuration names under the key of a living target.
 
 #include "fleet.h"
--- a/review/stand-ins-3/stale-survivors.cpp
+++ b/review/stand-ins-3/stale-survivors.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// \brief Case 11: the loss of many machines at once, right before a change of
+/// \brief Case 14: the loss of many machines at once, right before a change of
 /// the configuration. The machines that remain must apply it in time.
 
 #include "fleet.h"
