--- a/review/stand-ins-3/odd-owner.cpp
+++ b/review/stand-ins-3/odd-owner.cpp
@@ -66,6 +66,7 @@
   std::mutex mutex;
   std::vector<Try> tries;
   std::vector<std::thread> threads;
+  threads.reserve(instances.size());
   unsigned host = 10;
   for (auto& instance : instances) {
     threads.emplace_back([&, each = instance.get(), ip = folder.ip(3, host++)] {
